--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: help setup test lint format demo benchmark clean
+
+help:
+	@echo "make demo       run the whole path on embedded stand-ins"
+	@echo "make test       run all tests"
+	@echo "make lint       check formatting and lint"
+	@echo "make format     format the code"
+	@echo "make benchmark  run the benchmarks and write their results"
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable ".[test]"
+	touch $@
+
+setup: $(VENV)/.installed
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: setup
+	$(BIN)/plantainyokectl demo
+
+benchmark: setup
+	$(BIN)/pip install --quiet --editable ".[benchmark]"
+	$(BIN)/python benchmarks/bench_forwarding.py
+	$(BIN)/python benchmarks/bench_fleet.py --deployment diop --seed 1
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/plantainyoke/agent/_agent.py
@@ -0,0 +1,301 @@
+"""The agent process."""
+
+import asyncio
+import random
+import secrets
+import time
+from contextlib import AsyncExitStack
+
+from aioquic.h3.connection import H3_ALPN
+from aioquic.quic.configuration import QuicConfiguration
+
+from plantainyoke.agent._dispatch import Dispatcher
+from plantainyoke.agent._listener import Listener
+from plantainyoke.agent._records import OnceRecords
+from plantainyoke.agent._relay import RelayClient, answer_relayed
+from plantainyoke.agent._siblings import Siblings
+from plantainyoke.agent._upstream import Upstream
+from plantainyoke.configuration import AgentSettings, Settings, Snapshot
+from plantainyoke.limits import Refusal, RefusalReason
+from plantainyoke.node import ConfigurationFollower, ControlServer, Node, build_node
+from plantainyoke.node._links import describe_peer
+from plantainyoke.routing import CONNECTION_ID_SIZE, service_identifier
+from plantainyoke.telemetry import log_event
+from plantainyoke.wire import Probe, ProbeAck, TargetState
+
+INCARNATION_BITS = 61
+IDLE_TIMEOUT_S = 60.0
+SIBLING_PROBE_INTERVAL_S = 0.4
+LEAVING_CHECK_S = 0.1
+LINGER_S = 0.3
+SECONDS_TO_MS = 1000
+
+
+class Agent:
+    """Ends callers' connections and runs their requests on upstreams.
+
+    Parameters
+    ----------
+    node : Node
+    quic : QuicConfiguration
+    rng : random.Random
+    can_relay : bool, default=True
+        False keeps every request on the local upstream; a baseline.
+
+    Attributes
+    ----------
+    incarnation : int
+        Identifies this run of the agent.
+    liveness : int
+        Raised to refute a suspicion.
+    is_stopping : bool
+        Whether a graceful shutdown has begun.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        quic: QuicConfiguration,
+        rng: random.Random,
+        *,
+        can_relay: bool = True,
+    ) -> None:
+        self.node = node
+        self.rng = rng
+        self.loop = asyncio.get_running_loop()
+        self.settings: AgentSettings = node.settings.agent
+        self.service_id = service_identifier(self.settings.service)
+        self.incarnation = secrets.randbits(INCARNATION_BITS) | 1
+        self.liveness = int(time.time() * SECONDS_TO_MS)
+        self.is_stopping = False
+        self.is_removed = False
+        self.upstream = Upstream(self.settings.upstream, node.metrics)
+        self.siblings = Siblings(node.address, node.allows, rng)
+        self.records = OnceRecords(
+            incarnation=self.incarnation,
+            capacity=self.settings.record_capacity,
+            retention_s=self.settings.record_retention_s,
+        )
+        self.dispatcher = Dispatcher(
+            upstream=self.upstream,
+            siblings=self.siblings,
+            relay=RelayClient(node, self.service_id),
+            records=self.records,
+            metrics=node.metrics,
+            is_leaving=self.is_leaving,
+            can_relay=can_relay,
+        )
+        self.listener = Listener(
+            node=node,
+            service_id=self.service_id,
+            configuration=quic,
+            dispatcher=self.dispatcher,
+            siblings=self.siblings,
+            incarnation=self.incarnation,
+            is_leaving=self.is_leaving,
+            rng=rng,
+        )
+        node.handlers[Probe] = self.answer_probe
+        node.handlers[ProbeAck] = self.receive_answer
+        node.links.serve_request = self.serve_relayed
+        node.store.listeners.append(self.apply)
+
+    def is_leaving(self) -> bool:
+        """Tell whether this agent or its upstream takes no new work."""
+        return self.is_stopping or self.is_removed or self.upstream.is_draining
+
+    def apply(self, snapshot: Snapshot) -> None:
+        """Take over a new configuration."""
+        service = snapshot.services.get(self.service_id)
+        self.is_removed = service is None or not any(
+            target.agent == self.node.address for target in service.targets
+        )
+        if self.node.zone in snapshot.zones_out:
+            log_event("zone_out_of_service", connections=len(self.listener.open))
+            self.listener.close_all("zone out of service")
+        if service is None:
+            return
+        record = service.record
+        self.siblings.apply(service)
+        self.dispatcher.request_timeout_s = record.request_timeout_ms / SECONDS_TO_MS
+        self.upstream.configure(
+            slots=record.slots,
+            cold_slots=record.cold_slots,
+            shed_status=record.shed_status,
+        )
+
+    def state(self) -> TargetState:
+        """Return what this agent says of its upstream."""
+        if self.is_leaving():
+            return TargetState.LEAVING
+        if not self.upstream.is_reachable(self.loop.time()):
+            return TargetState.DOWN
+        if self.upstream.limit.is_cold:
+            return TargetState.COLD
+        if not self.upstream.admission.has_room:
+            return TargetState.FULL
+        return TargetState.SERVING
+
+    def answer_probe(self, probe: Probe, peer: int) -> None:
+        """Answer a balancer or a sibling."""
+        if probe.from_balancer:
+            self.listener.note_balancer(peer)
+        if probe.suspected >= self.liveness:
+            self.liveness = probe.suspected + 1
+            self.node.metrics.count("detector.refuted_own_suspicion")
+        admission = self.upstream.admission
+        ack = ProbeAck(
+            nonce=probe.nonce,
+            incarnation=self.incarnation,
+            state=self.state(),
+            connections=len(self.listener.open),
+            in_flight=admission.in_flight,
+            limit=self.upstream.limit.value,
+            queued=len(admission.waiters),
+            liveness=self.liveness,
+        )
+        envelope = self.node.codec.encode_probe_ack(self.node.generation, ack)
+        self.node.send(envelope, peer, "probe_answer")
+
+    def receive_answer(self, ack: ProbeAck, peer: int) -> None:
+        """Note a sibling's load."""
+        if ack.incarnation:
+            self.siblings.record_answer(peer, ack, self.loop.time())
+
+    async def serve_relayed(self, link, frame: dict) -> None:
+        """Run a request that a sibling relayed."""
+        await answer_relayed(link, frame, self._execute_relayed(frame))
+
+    async def probe_siblings(self) -> None:
+        """Ask siblings for their load until cancelled."""
+        while True:
+            for sibling in self.siblings.members:
+                probe = Probe(self.rng.getrandbits(63), False)
+                envelope = self.node.codec.encode_probe(self.node.generation, probe)
+                self.node.send(envelope, sibling, "sibling_probe")
+            interval = SIBLING_PROBE_INTERVAL_S * (0.75 + self.rng.random() / 2)
+            await asyncio.sleep(interval)
+
+    async def announce_leaving(self) -> None:
+        """Send GOAWAY to callers whenever leaving begins, until cancelled."""
+        was_leaving = False
+        while True:
+            leaving = self.is_leaving()
+            if leaving != was_leaving:
+                log_event("leaving" if leaving else "returned")
+                was_leaving = leaving
+            if leaving:
+                self.listener.send_goaway()
+            await asyncio.sleep(LEAVING_CHECK_S)
+
+    async def drain(self) -> None:
+        """Move callers away and finish what is in flight."""
+        self.is_stopping = True
+        self.listener.send_goaway()
+        deadline = self.loop.time() + self.settings.drain_timeout_s
+        log_event("agent_draining", connections=len(self.listener.open))
+        while self.loop.time() < deadline and self.listener.open:
+            await asyncio.sleep(LEAVING_CHECK_S)
+        cut = self.listener.requests_in_flight
+        self.listener.close_all("shutdown")
+        await asyncio.sleep(LINGER_S)
+        log_event("agent_stopped", requests_cut=cut)
+
+    def status(self, parameters: dict) -> dict:
+        """Answer ``plantainyokectl status``."""
+        now = self.loop.time()
+        limit = self.upstream.limit
+        return {
+            **self.node.describe(),
+            "service": self.settings.service,
+            "state": self.state().name.lower(),
+            "connections": len(self.listener.open),
+            "in_flight": self.upstream.admission.in_flight,
+            "queued": len(self.upstream.admission.waiters),
+            "limit": {"value": limit.value, "cause": limit.cause.value},
+            "records": len(self.records.records),
+            "siblings": {
+                describe_peer(agent): {
+                    "state": sibling.load.state.name.lower() if sibling.load else None,
+                    "answered_s_ago": round(now - sibling.answered_at, 2),
+                }
+                for agent, sibling in self.siblings.members.items()
+            },
+        }
+
+    def explain(self, parameters: dict) -> dict:
+        """Answer ``plantainyokectl explain``: what is known of a key or flow."""
+        key = parameters.get("key", "")
+        if key:
+            state = self.records.state_of(key)
+            record = self.records.records.get(key)
+            return {
+                "key": key,
+                "record": state.value if state else None,
+                "reason": str(record.error) if record and record.error else None,
+                "incarnation": self.incarnation,
+            }
+        try:
+            connection_id = bytes.fromhex(parameters.get("connection_id", ""))
+        except ValueError:
+            return {"error": "connection_id is not hexadecimal"}
+        if len(connection_id) != CONNECTION_ID_SIZE:
+            return {"error": "give a key or a connection_id"}
+        target = self.listener.codec.decode(connection_id)
+        return {
+            "leads_here": target == self.listener.target,
+            "is_open": connection_id in self.listener.connections,
+        }
+
+    def _execute_relayed(self, frame: dict):
+        async def execute(request, sink) -> None:
+            if frame["request"]["service"] != self.service_id:
+                raise Refusal(RefusalReason.WRONG_SERVICE)
+            if self.is_leaving():
+                raise Refusal(RefusalReason.LEAVING)
+            await self.dispatcher.serve(request, sink)
+
+        return execute
+
+
+def build_quic_configuration(settings: AgentSettings) -> QuicConfiguration:
+    """Return the server configuration with certificate and key loaded.
+
+    No session tickets are issued, so that 0-RTT is never possible.
+    """
+    configuration = QuicConfiguration(
+        is_client=False,
+        alpn_protocols=H3_ALPN,
+        connection_id_length=CONNECTION_ID_SIZE,
+        idle_timeout=IDLE_TIMEOUT_S,
+    )
+    configuration.load_cert_chain(settings.certificate, settings.private_key)
+    return configuration
+
+
+async def run_agent(
+    settings: Settings,
+    stack: AsyncExitStack,
+    *,
+    seed: int | None = None,
+    can_relay: bool = True,
+) -> Agent:
+    """Start an agent; it serves once a configuration is in force."""
+    rng = random.Random(seed)
+    quic = build_quic_configuration(settings.agent)
+    service_id = service_identifier(settings.agent.service)
+    node = await build_node(settings, stack, service_id=service_id)
+    agent = Agent(node, quic, rng, can_relay=can_relay)
+    await agent.upstream.open(stack)
+    follower = ConfigurationFollower(node, rng)
+    node.follower = follower
+    if settings.control is not None:
+        queries = {"status": agent.status, "explain": agent.explain}
+        await ControlServer(settings.control, queries).start(stack)
+    await follower.bootstrap()
+    follower.start()
+    node.start(agent.upstream.poll_health(), name="health")
+    node.start(agent.probe_siblings(), name="siblings")
+    node.start(agent.announce_leaving(), name="leaving")
+    log_event("agent_started", listen=settings.listen, service=settings.agent.service)
+    return agent
--- /dev/null
+++ b/plantainyoke/agent/_connection.py
@@ -0,0 +1,374 @@
+"""One caller's connection: HTTP/3 streams and their requests."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import (
+    ProtocolNegotiated,
+    QuicEvent,
+    StopSendingReceived,
+    StreamReset,
+)
+
+from plantainyoke.agent._dispatch import Dispatcher
+from plantainyoke.agent._messages import (
+    AnswerCutError,
+    AnswerNotKeptError,
+    Headers,
+    KeyReusedError,
+    Request,
+    RequestError,
+    Resume,
+)
+from plantainyoke.agent._upstream import HOP_BY_HOP, RESERVED_PREFIX
+from plantainyoke.limits import Refusal, RefusalReason
+from plantainyoke.quic import (
+    REQUEST_REJECTED,
+    STREAM_ERROR,
+    ConnectionDriver,
+    ControlledH3Connection,
+    pending_bytes,
+)
+from plantainyoke.telemetry import Metrics, log_event
+from plantainyoke.wire import Address
+
+MAX_BODY_SIZE = 1_000_000
+MAX_PENDING_BYTES = 262_144
+SECONDS_TO_MS = 1000
+KEY_HEADER = b"idempotency-key"
+TIMEOUT_HEADER = b"request-timeout-ms"
+SESSION_HEADER = b"plantainyoke-session"
+RESUME_HEADER = b"plantainyoke-resume"
+OUTCOME_HEADER = b"plantainyoke-outcome"
+MAX_KEY_SIZE = 200
+CONSUMED_HEADERS = frozenset({KEY_HEADER, TIMEOUT_HEADER, b"host"})
+
+
+@dataclass
+class PartialRequest:
+    """A request whose body is still arriving."""
+
+    headers: Headers
+    body: bytearray = field(default_factory=bytearray)
+
+
+class MalformedRequestError(Exception):
+    """A header of the request is not valid."""
+
+
+class StreamSink:
+    """Writes an answer to one HTTP/3 stream."""
+
+    def __init__(self, connection: "AgentConnection", stream_id: int) -> None:
+        self.connection = connection
+        self.stream_id = stream_id
+        self.is_started = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status and headers."""
+        self.is_started = True
+        if self.connection.is_closed:
+            return
+        self.connection.h3.send_headers(
+            self.stream_id, [(b":status", str(status).encode()), *headers]
+        )
+        self.connection.driver.wake()
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the body, waiting while much is unsent."""
+        connection = self.connection
+        if connection.is_closed:
+            return
+        connection.h3.send_data(self.stream_id, data, end_stream=False)
+        connection.driver.wake()
+        while (
+            not connection.is_closed
+            and pending_bytes(connection.quic, self.stream_id) > MAX_PENDING_BYTES
+        ):
+            await connection.driver.wait_progress()
+
+    async def finish(self) -> None:
+        """End the body."""
+        if self.connection.is_closed:
+            return
+        self.connection.h3.send_data(self.stream_id, b"", end_stream=True)
+        self.connection.driver.wake()
+
+
+class AgentConnection:
+    """A connection of a caller to this agent.
+
+    Parameters
+    ----------
+    quic : QuicConnection
+    driver : ConnectionDriver
+    dispatcher : Dispatcher
+    metrics : Metrics
+    incarnation : int
+    fence : callable
+        Called with ``(connection, epoch, resumes)``; returns whether the
+        connection may still start requests of its session.
+
+    Attributes
+    ----------
+    created_at : float
+        Loop time of its first datagram.
+    balancer : int
+        Packed address of the balancer that forwarded last.
+    is_fenced : bool
+        Whether a newer connection of the same session took over.
+    session, epoch : bytes, int
+        Session of the caller and the number of this connection in it.
+    issued : list of bytes
+        Connection IDs that lead to this connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        quic: QuicConnection,
+        send,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+        incarnation: int,
+        fence,
+    ) -> None:
+        self.quic = quic
+        self.driver = ConnectionDriver(quic, send, self._handle_event)
+        self.dispatcher = dispatcher
+        self.metrics = metrics
+        self.incarnation = incarnation
+        self.fence = fence
+        self.loop = asyncio.get_running_loop()
+        self.created_at = self.loop.time()
+        self.balancer = 0
+        self.h3: ControlledH3Connection | None = None
+        self.partial: dict[int, PartialRequest] = {}
+        self.tasks: dict[int, asyncio.Task] = {}
+        self.requests: dict[int, Request] = {}
+        self.last_stream_id = 0
+        self.is_fenced = False
+        self.session = b""
+        self.epoch = 0
+        self.issued: list[bytes] = []
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing can be sent any more."""
+        return self.driver.is_terminated
+
+    def feed(self, datagram: bytes, source: Address) -> None:
+        """Take a datagram of the caller."""
+        if not self.driver.feed(datagram, source):
+            self.metrics.count("drop.inbox_full")
+
+    async def run(self) -> None:
+        """Drive the connection until it ends."""
+        try:
+            await self.driver.run()
+        finally:
+            self._end_requests()
+
+    def send_goaway(self) -> None:
+        """Ask the caller to move to another connection."""
+        if self.h3 is None or self.is_closed:
+            return
+        self.h3.send_goaway(self.last_stream_id + 4)
+        self.driver.wake()
+
+    def close(self, error_code: int, reason: str) -> None:
+        """Close the connection."""
+        if not self.is_closed:
+            self.quic.close(error_code=error_code, reason_phrase=reason)
+            self.driver.wake()
+
+    def _handle_event(self, event: QuicEvent) -> None:
+        if isinstance(event, ProtocolNegotiated):
+            self.h3 = ControlledH3Connection(self.quic, incarnation=self.incarnation)
+        if isinstance(event, StreamReset | StopSendingReceived):
+            self._cancel(event.stream_id)
+        if self.h3 is not None:
+            for h3_event in self.h3.handle_event(event):
+                self._handle_h3_event(h3_event)
+
+    def _handle_h3_event(self, event: H3Event) -> None:
+        if isinstance(event, HeadersReceived):
+            self.partial[event.stream_id] = PartialRequest(event.headers)
+            self.last_stream_id = max(self.last_stream_id, event.stream_id)
+        elif isinstance(event, DataReceived):
+            partial = self.partial.get(event.stream_id)
+            if partial is None:
+                return
+            partial.body += event.data
+            if len(partial.body) > MAX_BODY_SIZE:
+                del self.partial[event.stream_id]
+                self._refuse(event.stream_id, Refusal(RefusalReason.TOO_LARGE))
+                return
+        if event.stream_ended and event.stream_id in self.partial:
+            partial = self.partial.pop(event.stream_id)
+            task = self.loop.create_task(self._serve(event.stream_id, partial))
+            self.tasks[event.stream_id] = task
+            task.add_done_callback(lambda _: self._forget(event.stream_id))
+
+    async def _serve(self, stream_id: int, partial: PartialRequest) -> None:
+        sink = StreamSink(self, stream_id)
+        try:
+            request = self._build_request(partial)
+            self.requests[stream_id] = request
+            await self.dispatcher.serve(request, sink)
+        except MalformedRequestError:
+            self._refuse(stream_id, Refusal(RefusalReason.MALFORMED))
+        except Refusal as refusal:
+            self._refuse(stream_id, refusal)
+        except KeyReusedError:
+            self.metrics.count("refusal.key_reused")
+            self._report(stream_id, 422, "not-run", "key_reused")
+        except AnswerNotKeptError:
+            self._report(stream_id, 502, "ran", "answer_not_kept")
+        except RequestError as error:
+            self._report_unknown(stream_id, sink, error)
+        except Exception as error:
+            # A fault of ours must not leave the caller without an outcome.
+            self.metrics.count("request.fault")
+            log_event("request_fault", error=repr(error))
+            self._report_unknown(stream_id, sink, error)
+
+    def _build_request(self, partial: PartialRequest) -> Request:
+        headers = dict(partial.headers)
+        now = self.loop.time()
+        resume = self._parse_resume(headers.get(RESUME_HEADER))
+        session = headers.get(SESSION_HEADER)
+        if session is not None:
+            self._check_session(session, resume is not None)
+        limit_s = self.dispatcher.request_timeout_s
+        timeout_s = _parse_timeout(headers.get(TIMEOUT_HEADER), limit_s)
+        key = headers.get(KEY_HEADER, b"")
+        if len(key) > MAX_KEY_SIZE:
+            raise MalformedRequestError
+        return Request(
+            method=headers[b":method"].decode("ascii"),
+            path=headers[b":path"].decode("ascii"),
+            headers=[pair for pair in partial.headers if _is_forwarded(pair[0])],
+            body=bytes(partial.body),
+            deadline=now + timeout_s,
+            key=key.decode("latin-1"),
+            resume=resume,
+        )
+
+    def _check_session(self, value: bytes, resumes: bool) -> None:
+        session, separator, epoch = value.partition(b";epoch=")
+        if not separator or not epoch.isdigit():
+            raise MalformedRequestError
+        self.session = session
+        self.epoch = int(epoch)
+        if not self.fence(self, self.epoch, resumes):
+            raise Refusal(RefusalReason.FENCED)
+
+    def _parse_resume(self, value: bytes | None) -> Resume | None:
+        """Read ``incarnation;age=milliseconds``.
+
+        The caller can have asked no earlier than this connection began, so
+        the request was sent no earlier than its age before that.
+        """
+        if value is None:
+            return None
+        incarnation, separator, age = value.partition(b";age=")
+        if not separator or not incarnation.isdigit() or not age.isdigit():
+            raise MalformedRequestError
+        sent_after = self.created_at - int(age) / SECONDS_TO_MS
+        return Resume(int(incarnation), sent_after)
+
+    def _refuse(self, stream_id: int, refusal: Refusal) -> None:
+        self.metrics.count(f"refusal.sent.{refusal.reason.value}")
+        status = STATUS_OF_REFUSAL.get(refusal.reason, 503)
+        self._report(
+            stream_id,
+            status,
+            "not-run",
+            refusal.reason.value,
+            retry_after_s=refusal.retry_after_s,
+        )
+
+    def _report_unknown(self, stream_id: int, sink: StreamSink, error) -> None:
+        if sink.is_started or isinstance(error, AnswerCutError):
+            self.metrics.count("outcome.cut")
+            self._reset(stream_id)
+            return
+        self.metrics.count("outcome.unknown")
+        cause = str(error) or type(error).__name__
+        status = 504 if cause == "timeout" else 502
+        self._report(stream_id, status, "unknown", cause)
+
+    def _report(
+        self,
+        stream_id: int,
+        status: int,
+        outcome: str,
+        cause: str,
+        *,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Send an answer that only says how the request ended (RFC 9209)."""
+        if self.is_closed:
+            return
+        headers = [
+            (b":status", str(status).encode()),
+            (OUTCOME_HEADER, outcome.encode()),
+            (b"proxy-status", f'plantainyoke; details="{cause}"'.encode()),
+            (b"content-length", b"0"),
+        ]
+        if retry_after_s is not None:
+            headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+        self.h3.send_headers(stream_id, headers, end_stream=True)
+        self.driver.wake()
+
+    def _reset(self, stream_id: int) -> None:
+        if not self.is_closed:
+            self.quic.reset_stream(stream_id, STREAM_ERROR)
+            self.driver.wake()
+
+    def _cancel(self, stream_id: int) -> None:
+        if self.partial.pop(stream_id, None) is not None:
+            self.quic.reset_stream(stream_id, REQUEST_REJECTED)
+        task = self.tasks.get(stream_id)
+        if task is not None:
+            self.metrics.count("request.cancelled")
+            task.cancel()
+
+    def _end_requests(self) -> None:
+        """Cancel what only this connection waits for; keyed requests go on."""
+        self.partial.clear()
+        for stream_id, task in list(self.tasks.items()):
+            request = self.requests.get(stream_id)
+            if request is None or not request.key:
+                task.cancel()
+
+    def _forget(self, stream_id: int) -> None:
+        self.tasks.pop(stream_id, None)
+        self.requests.pop(stream_id, None)
+
+
+STATUS_OF_REFUSAL = {
+    RefusalReason.TOO_LARGE: 413,
+    RefusalReason.MALFORMED: 400,
+    RefusalReason.DEADLINE_EXPIRED: 504,
+}
+
+
+def _is_forwarded(name: bytes) -> bool:
+    return not (
+        name.startswith(b":")
+        or name in CONSUMED_HEADERS
+        or name.decode("latin-1") in HOP_BY_HOP
+        or name.startswith(RESERVED_PREFIX.encode())
+    )
+
+
+def _parse_timeout(value: bytes | None, limit_s: float) -> float:
+    if value is None:
+        return limit_s
+    if not value.isdigit():
+        raise MalformedRequestError
+    return min(int(value) / SECONDS_TO_MS, limit_s)
--- /dev/null
+++ b/plantainyoke/agent/_dispatch.py
@@ -0,0 +1,151 @@
+"""Decides where each request runs and how its end is reported."""
+
+import asyncio
+from collections.abc import Callable
+
+from plantainyoke.agent._messages import (
+    BufferSink,
+    OutcomeUnknownError,
+    Request,
+    Sink,
+    send_answer,
+)
+from plantainyoke.agent._records import OnceRecords
+from plantainyoke.agent._relay import RelayClient
+from plantainyoke.agent._siblings import Siblings
+from plantainyoke.agent._upstream import Upstream
+from plantainyoke.limits import Refusal, RefusalReason, RetryBudget
+from plantainyoke.telemetry import Metrics
+
+MAX_PLACES = 3
+DEFAULT_TIMEOUT_S = 30.0
+LOCAL = 0  # stands for the upstream beside this agent
+
+
+class Dispatcher:
+    """Runs requests on the local upstream or on a sibling's.
+
+    Parameters
+    ----------
+    upstream : Upstream
+    siblings : Siblings
+    relay : RelayClient
+    records : OnceRecords
+    metrics : Metrics
+    is_leaving : callable
+        Tells whether this agent or its upstream leaves.
+    can_relay : bool, default=True
+        False keeps every request on the local upstream; a baseline.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstream: Upstream,
+        siblings: Siblings,
+        relay: RelayClient,
+        records: OnceRecords,
+        metrics: Metrics,
+        is_leaving: Callable[[], bool],
+        can_relay: bool = True,
+    ) -> None:
+        self.upstream = upstream
+        self.siblings = siblings
+        self.relay = relay
+        self.records = records
+        self.metrics = metrics
+        self.is_leaving = is_leaving
+        self.can_relay = can_relay
+        self.request_timeout_s = DEFAULT_TIMEOUT_S
+        self.budget = RetryBudget()
+        self.loop = asyncio.get_running_loop()
+
+    async def serve(self, request: Request, sink: Sink) -> None:
+        """Run one request and write its answer.
+
+        Raises
+        ------
+        Refusal
+            The request did not run.
+        RequestError
+            It may have run.
+        """
+        self.metrics.count("request.received")
+        if not request.key:
+            await self._run(request, sink)
+            return
+        answer = await self.records.run(request, self._run_buffered)
+        await send_answer(answer, sink)
+
+    async def _run_buffered(self, request: Request):
+        sink = BufferSink()
+        await self._run(request, sink)
+        return sink.answer()
+
+    async def _run(self, request: Request, sink: Sink) -> None:
+        """Try places until one runs the request or the budget is spent."""
+        self.budget.record_request()
+        tried: set[int] = set()
+        for attempt in range(MAX_PLACES):
+            place = self._choose_place(request, tried)
+            try:
+                await self._run_at(place, request, sink)
+                return
+            except Refusal as refusal:
+                self.metrics.count(f"refusal.{refusal.reason.value}")
+                tried.add(place)
+                if not self._may_retry(request, attempt, refusal.reason.value):
+                    raise
+            except OutcomeUnknownError as error:
+                tried.add(place)
+                if not request.is_idempotent or sink.is_started:
+                    raise
+                if not self._may_retry(request, attempt, error.cause):
+                    raise
+
+    async def _run_at(self, place: int, request: Request, sink: Sink) -> None:
+        if place != LOCAL:
+            self.metrics.count("request.relayed")
+            sibling = self.siblings.members[place]
+            self.siblings.record_sent(place)
+            try:
+                await self.relay.run(place, sibling.load.incarnation, request, sink)
+            except Refusal as refusal:
+                if refusal.reason is RefusalReason.UNREACHABLE:
+                    self.siblings.record_failure(place)
+                raise
+            return
+        if request.is_watch:
+            await self.upstream.watch(request, sink)
+            return
+        await self.upstream.run(request, sink)
+
+    def _may_retry(self, request: Request, attempt: int, reason: str) -> bool:
+        if attempt + 1 >= MAX_PLACES or request.is_relayed:
+            return False
+        if request.deadline <= self.loop.time():
+            return False
+        if not self.budget.try_spend():
+            self.metrics.count("retry.budget_spent")
+            return False
+        self.metrics.count(f"retry.{reason}")
+        return True
+
+    def _choose_place(self, request: Request, tried: set[int]) -> int:
+        now = self.loop.time()
+        if request.is_relayed or not self.can_relay:
+            return LOCAL
+        local_usable = LOCAL not in tried and self._is_local_usable(now)
+        if local_usable and (request.is_watch or self.upstream.admission.has_room):
+            return LOCAL
+        choose = self.siblings.choose
+        sibling = choose(now, exclude=tried, need_room=not request.is_watch)
+        if sibling is not None:
+            return sibling
+        if local_usable:
+            return LOCAL
+        sibling = choose(now, exclude=tried, need_room=False)
+        return LOCAL if sibling is None else sibling
+
+    def _is_local_usable(self, now: float) -> bool:
+        return not self.is_leaving() and self.upstream.is_reachable(now)
--- /dev/null
+++ b/plantainyoke/agent/_records.py
@@ -0,0 +1,212 @@
+"""Records that keep a non-idempotent request from running twice."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import xxhash
+
+from plantainyoke.agent._messages import (
+    Answer,
+    AnswerNotKeptError,
+    KeyReusedError,
+    OutcomeUnknownError,
+    Request,
+    RequestError,
+)
+from plantainyoke.limits import Refusal, RefusalReason
+
+MAX_KEPT_ANSWER_SIZE = 262_144
+
+Run = Callable[[Request], Awaitable[Answer]]
+
+
+class RecordState(Enum):
+    """What is known of a keyed request."""
+
+    RUNNING = "running"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class Record:
+    """One keyed request.
+
+    Attributes
+    ----------
+    fingerprint : int
+        Hash of the method, path and body.
+    started_at, finished_at : float
+        Loop times.
+    task : asyncio.Task
+        Runs the request; it outlives the connection that asked.
+    """
+
+    fingerprint: int
+    started_at: float
+    task: asyncio.Task | None = None
+    state: RecordState = RecordState.RUNNING
+    finished_at: float = 0.0
+    answer: Answer | None = None
+    error: Exception | None = None
+    finished: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class OnceRecords:
+    """The keyed requests of one incarnation of an agent.
+
+    Parameters
+    ----------
+    incarnation : int
+    capacity : int
+        Most records kept.
+    retention_s : float
+        Time for which a finished record is kept if there is room.
+
+    Attributes
+    ----------
+    evicted_until : float
+        Latest start of an evicted record: nothing is known of a request that
+        may have been sent before this loop time.
+    """
+
+    def __init__(self, *, incarnation: int, capacity: int, retention_s: float) -> None:
+        self.incarnation = incarnation
+        self.capacity = capacity
+        self.retention_s = retention_s
+        self.records: dict[str, Record] = {}
+        self.evicted_until = float("-inf")
+
+    def state_of(self, key: str) -> RecordState | None:
+        """Return the state of a key, None if there is no record."""
+        record = self.records.get(key)
+        return None if record is None else record.state
+
+    async def run(self, request: Request, run: Run) -> Answer:
+        """Run a keyed request unless it has run, and return its answer.
+
+        A second request with the same key joins the first one.
+
+        Raises
+        ------
+        Refusal
+            The request did not run.
+        OutcomeUnknownError
+            The request may have run.
+        KeyReusedError
+            The key belongs to another request.
+        AnswerNotKeptError
+            The request ran and its answer is gone.
+        """
+        record = self._find_or_start(request, run)
+        try:
+            await record.finished.wait()
+        except asyncio.CancelledError:
+            # The caller gave the request up: close it upstream as well.
+            record.task.cancel()
+            raise
+        return _result(record)
+
+    def detach(self, key: str) -> bool:
+        """Tell whether a keyed request goes on without its connection."""
+        return self.state_of(key) is RecordState.RUNNING
+
+    def _find_or_start(self, request: Request, run: Run) -> Record:
+        fingerprint = _fingerprint(request)
+        record = self.records.get(request.key)
+        if record is not None and record.state is not RecordState.NOT_RUN:
+            if record.fingerprint != fingerprint:
+                raise KeyReusedError
+            return record
+        self._check_resume(request)
+        return self._start(request, run, fingerprint)
+
+    def _check_resume(self, request: Request) -> None:
+        resume = request.resume
+        if resume is None:
+            return
+        if resume.incarnation != self.incarnation:
+            raise OutcomeUnknownError("agent_restarted")
+        if resume.sent_after <= self.evicted_until:
+            raise OutcomeUnknownError("record_evicted")
+
+    def _start(self, request: Request, run: Run, fingerprint: int) -> Record:
+        loop = asyncio.get_running_loop()
+        self._make_room(loop.time())
+        self.records.pop(request.key, None)
+        record = Record(fingerprint, loop.time())
+        self.records[request.key] = record
+        record.task = loop.create_task(self._execute(record, request, run))
+        return record
+
+    async def _execute(self, record: Record, request: Request, run: Run) -> None:
+        try:
+            answer = await run(request)
+        except Refusal as error:
+            record.state = RecordState.NOT_RUN
+            record.error = error
+        except RequestError as error:
+            record.state = RecordState.UNKNOWN
+            record.error = error
+        except asyncio.CancelledError:
+            record.state = RecordState.UNKNOWN
+            record.error = OutcomeUnknownError("cancelled")
+            raise
+        except Exception as error:
+            record.state = RecordState.UNKNOWN
+            record.error = OutcomeUnknownError(type(error).__name__)
+            raise
+        else:
+            record.state = RecordState.DONE
+            _keep_answer(record, answer)
+        finally:
+            record.finished_at = asyncio.get_running_loop().time()
+            record.finished.set()
+
+    def _make_room(self, now: float) -> None:
+        expired = now - self.retention_s
+        for key, record in list(self.records.items()):
+            full = len(self.records) >= self.capacity
+            if record.state is RecordState.RUNNING:
+                if full:
+                    continue
+                break
+            if record.finished_at > expired and not full:
+                break
+            self._evict(key, record)
+        if len(self.records) >= self.capacity:
+            raise Refusal(RefusalReason.QUEUE_FULL)
+
+    def _evict(self, key: str, record: Record) -> None:
+        del self.records[key]
+        if record.state is not RecordState.NOT_RUN:
+            self.evicted_until = max(self.evicted_until, record.started_at)
+
+
+def _fingerprint(request: Request) -> int:
+    hasher = xxhash.xxh3_64(request.method.encode())
+    hasher.update(request.path.encode())
+    hasher.update(request.body)
+    return hasher.intdigest()
+
+
+def _keep_answer(record: Record, answer: Answer) -> None:
+    record.answer = answer
+    if len(answer.body) > MAX_KEPT_ANSWER_SIZE:
+        # Those who already wait get the answer; later questions do not.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(_drop_answer, record)
+
+
+def _drop_answer(record: Record) -> None:
+    record.answer = None
+    record.error = AnswerNotKeptError()
+
+
+def _result(record: Record) -> Answer:
+    if record.answer is not None:
+        return record.answer
+    raise record.error
--- /dev/null
+++ b/plantainyoke/agent/_siblings.py
@@ -0,0 +1,117 @@
+"""What an agent knows of the other agents of its service."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from plantainyoke.configuration import Service
+from plantainyoke.routing import rank_by_rendezvous
+from plantainyoke.wire import ProbeAck, TargetState
+
+MAX_SIBLINGS = 8
+LOAD_VALID_S = 1.5
+ADDRESS_BYTES = 6
+
+
+@dataclass(slots=True)
+class Sibling:
+    """One other agent of the service.
+
+    Attributes
+    ----------
+    load : ProbeAck, optional
+        Its latest answer.
+    answered_at : float
+        Loop time of that answer.
+    sent : int
+        Requests relayed to it since that answer.
+    """
+
+    load: ProbeAck | None = None
+    answered_at: float = float("-inf")
+    sent: int = 0
+
+
+class Siblings:
+    """Chooses siblings by the load that they last reported.
+
+    Parameters
+    ----------
+    own : int
+        Packed address of this agent.
+    allows : callable
+        Tells whether packets may be sent to a packed address.
+    rng : random.Random
+    """
+
+    def __init__(
+        self, own: int, allows: Callable[[int], bool], rng: random.Random
+    ) -> None:
+        self.own = own
+        self.allows = allows
+        self.rng = rng
+        self.members: dict[int, Sibling] = {}
+
+    def apply(self, service: Service) -> None:
+        """Take over the targets of a configuration."""
+        others = [item.agent for item in service.targets if item.agent != self.own]
+        if len(others) > MAX_SIBLINGS:
+            encoded = [agent.to_bytes(ADDRESS_BYTES, "big") for agent in others]
+            key = self.own.to_bytes(ADDRESS_BYTES, "big")
+            ranked = rank_by_rendezvous(key, encoded)[:MAX_SIBLINGS]
+            others = [int.from_bytes(item, "big") for item in ranked]
+        self.members = {agent: self.members.get(agent, Sibling()) for agent in others}
+
+    def record_answer(self, agent: int, load: ProbeAck, now: float) -> None:
+        """Note a sibling's state and load."""
+        sibling = self.members.get(agent)
+        if sibling is not None:
+            sibling.load = load
+            sibling.answered_at = now
+            sibling.sent = 0
+
+    def record_failure(self, agent: int) -> None:
+        """Forget the load of a sibling that could not be reached."""
+        sibling = self.members.get(agent)
+        if sibling is not None:
+            sibling.answered_at = float("-inf")
+
+    def usable(self, now: float) -> dict[int, Sibling]:
+        """Return the siblings that answered lately and take new work."""
+        return {
+            agent: sibling
+            for agent, sibling in self.members.items()
+            if now - sibling.answered_at < LOAD_VALID_S
+            and sibling.load.state not in (TargetState.LEAVING, TargetState.DOWN)
+            and self.allows(agent)
+        }
+
+    def choose(self, now: float, *, exclude: set[int], need_room: bool) -> int | None:
+        """Return the sibling with the least work per slot, None if none fits.
+
+        Parameters
+        ----------
+        now : float
+        exclude : set of int
+        need_room : bool
+            Whether it must be able to start a request at once.
+        """
+        scored = []
+        for agent, sibling in self.usable(now).items():
+            if agent in exclude:
+                continue
+            load = sibling.load
+            work = load.in_flight + load.queued + sibling.sent
+            if need_room and work >= load.limit:
+                continue
+            scored.append((work / max(1, load.limit), self.rng.random(), agent))
+        return min(scored)[2] if scored else None
+
+    def record_sent(self, agent: int) -> None:
+        """Count a request relayed since the last answer."""
+        self.members[agent].sent += 1
+
+    def connections_of(self, agent: int, now: float) -> int | None:
+        """Return the connections of a usable sibling, None if unknown."""
+        sibling = self.usable(now).get(agent)
+        return None if sibling is None else sibling.load.connections
--- /dev/null
+++ b/plantainyoke/agent/_upstream.py
@@ -0,0 +1,202 @@
+"""Runs requests on the upstream beside the agent, over HTTP/1.1."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import aiohttp
+from yarl import URL
+
+from plantainyoke.agent._messages import (
+    AnswerCutError,
+    Headers,
+    OutcomeUnknownError,
+    Request,
+    Sink,
+)
+from plantainyoke.limits import AdaptiveLimit, Admission, Refusal, RefusalReason
+from plantainyoke.telemetry import Metrics
+
+CONNECT_TIMEOUT_S = 1.0
+UNREACHABLE_FOR_S = 0.5
+HEALTH_INTERVAL_S = 0.5
+HEALTH_TIMEOUT_S = 0.5
+PIECE_SIZE = 65_536
+DEADLINE_HEADER = "request-timeout-ms"
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-status",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+RESERVED_PREFIX = "plantainyoke-"
+
+
+class Upstream:
+    """The upstream, its admission and what requests tell about it.
+
+    Parameters
+    ----------
+    base_url : str
+    metrics : Metrics
+
+    Attributes
+    ----------
+    is_draining : bool
+        The health endpoint's hint that the upstream leaves.
+    unreachable_until : float
+        Loop time until which it is not tried.
+    """
+
+    def __init__(self, base_url: str, metrics: Metrics) -> None:
+        self.base_url = base_url
+        self.metrics = metrics
+        self.limit = AdaptiveLimit(1, 1)
+        self.admission = Admission(self.limit)
+        self.shed_status: int | None = None
+        self.is_draining = False
+        self.unreachable_until = float("-inf")
+        self.stack = AsyncExitStack()
+        self.session: aiohttp.ClientSession | None = None
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        """Open the HTTP client until the stack closes."""
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = await stack.enter_async_context(
+            aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        )
+
+    def configure(self, *, slots: int, cold_slots: int, shed_status: int | None):
+        """Take over the service's limits."""
+        self.limit.ceiling = slots
+        self.limit.floor = min(cold_slots, slots)
+        self.limit.value = min(max(self.limit.value, self.limit.floor), slots)
+        self.shed_status = shed_status
+        self.admission.wake()
+
+    def is_reachable(self, now: float) -> bool:
+        """Whether the upstream is worth trying."""
+        return now >= self.unreachable_until
+
+    async def run(self, request: Request, sink: Sink) -> None:
+        """Run a request in a slot and write its answer.
+
+        Raises
+        ------
+        Refusal
+            The upstream did not run the request.
+        OutcomeUnknownError, AnswerCutError
+            It may have run.
+        """
+        await self.admission.acquire(request.deadline)
+        try:
+            await self._exchange(request, sink)
+        finally:
+            self.admission.release()
+
+    async def watch(self, request: Request, sink: Sink) -> None:
+        """Run a stream of events, which takes no slot."""
+        await self._exchange(request, sink, is_watch=True)
+
+    async def poll_health(self) -> None:
+        """Read the health hint at a fixed interval until cancelled."""
+        while True:
+            self.is_draining = await self._read_draining()
+            await asyncio.sleep(HEALTH_INTERVAL_S)
+
+    async def _read_draining(self) -> bool:
+        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
+        url = self.base_url + "/health"
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                return (await response.json()).get("draining") is True
+        except (aiohttp.ClientError, TimeoutError, ValueError, AttributeError):
+            return self.is_draining
+
+    async def _exchange(self, request: Request, sink: Sink, *, is_watch=False) -> None:
+        loop = asyncio.get_running_loop()
+        deadline = None if is_watch else request.deadline
+        try:
+            async with asyncio.timeout_at(deadline):
+                latency_s = await self._send(request, sink, is_watch)
+        except TimeoutError:
+            self._record_failure(is_watch)
+            raise OutcomeUnknownError("timeout") from None
+        except aiohttp.ClientConnectorError:
+            self._record_unreachable(loop.time())
+            raise Refusal(RefusalReason.UNREACHABLE) from None
+        except aiohttp.ClientError as error:
+            self._record_failure(is_watch)
+            if sink.is_started:
+                raise AnswerCutError from error
+            raise OutcomeUnknownError(type(error).__name__) from error
+        if latency_s is not None:
+            self._record_success(latency_s)
+
+    async def _send(self, request: Request, sink: Sink, is_watch: bool) -> float | None:
+        """Return the seconds until the status, None if it tells nothing."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        headers = [(name.decode(), value.decode()) for name, value in request.headers]
+        if not is_watch:
+            remaining_ms = max(1, round((request.deadline - loop.time()) * 1000))
+            headers.append((DEADLINE_HEADER, str(remaining_ms)))
+        if request.key:
+            headers.append(("idempotency-key", request.key))
+        async with self.session.request(
+            request.method,
+            URL(self.base_url + request.path, encoded=True),
+            headers=headers,
+            data=request.body or None,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
+        ) as response:
+            if response.status == self.shed_status:
+                self._record_shed()
+                raise Refusal(RefusalReason.SHED, _retry_after(response))
+            latency_s = loop.time() - started_at
+            is_failure = response.status >= 500
+            if is_failure:
+                self._record_failure(is_watch)
+            await sink.start(response.status, _answer_headers(response))
+            async for piece in response.content.iter_chunked(PIECE_SIZE):
+                await sink.write(piece)
+            await sink.finish()
+            return None if is_watch or is_failure else latency_s
+
+    def _record_success(self, latency_s: float) -> None:
+        self.limit.record_success(latency_s)
+        self.admission.wake()
+
+    def _record_failure(self, is_watch: bool) -> None:
+        self.metrics.count("upstream.failed")
+        if not is_watch:
+            self.limit.record_failure()
+
+    def _record_shed(self) -> None:
+        self.metrics.count("upstream.shed")
+        self.limit.record_shed()
+
+    def _record_unreachable(self, now: float) -> None:
+        self.metrics.count("upstream.unreachable")
+        self.limit.record_unreachable()
+        self.unreachable_until = now + UNREACHABLE_FOR_S
+
+
+def _retry_after(response: aiohttp.ClientResponse) -> float:
+    text = response.headers.get("retry-after", "")
+    return float(text) if text.isdigit() else 0.1
+
+
+def _answer_headers(response: aiohttp.ClientResponse) -> Headers:
+    return [
+        (name.lower().encode(), value.encode())
+        for name, value in response.headers.items()
+        if name.lower() not in HOP_BY_HOP
+        and not name.lower().startswith(RESERVED_PREFIX)
+    ]
--- /dev/null
+++ b/plantainyoke/balancer/_balancer.py
@@ -0,0 +1,257 @@
+"""The balancer process."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+
+from plantainyoke.balancer._steering import ZONE_OUT, Drop, Steering, Verdict
+from plantainyoke.balancer._watch import TargetWatch
+from plantainyoke.configuration import Service, Settings, Snapshot
+from plantainyoke.limits import TokenBucket
+from plantainyoke.node import (
+    ConfigurationFollower,
+    ControlServer,
+    DatagramSocket,
+    Node,
+    build_node,
+)
+from plantainyoke.node._links import describe_peer
+from plantainyoke.quic import build_stateless_reset, derive_reset_token
+from plantainyoke.routing import CONNECTION_ID_SIZE, ConnectionIdCodec
+from plantainyoke.telemetry import log_event
+from plantainyoke.wire import (
+    Address,
+    Forward,
+    Reply,
+    format_address,
+    pack_address,
+    unpack_address,
+)
+
+FIRST_PACKET_BURST_S = 0.5
+QUIET_BEFORE_STOP_S = 2.0
+MAX_STOP_S = 30.0
+
+
+class Balancer:
+    """Forwards callers' datagrams to agents and agents' answers to callers.
+
+    Parameters
+    ----------
+    node : Node
+    rng : random.Random
+    """
+
+    def __init__(self, node: Node, rng: random.Random) -> None:
+        self.node = node
+        self.rng = rng
+        self.loop = asyncio.get_running_loop()
+        self.routing_keys = {
+            key.rotation: key.secret for key in node.settings.keys.routing_keys
+        }
+        self.watch = TargetWatch(node, rng)
+        self.detector = self.watch.detector
+        self.steering = Steering(
+            ConnectionIdCodec(node.settings.keys.routing_keys),
+            self.detector.is_suspect,
+        )
+        rate = node.settings.balancer.first_packets_per_s
+        self.first_packets = TokenBucket(
+            rate_per_s=rate, burst=rate * FIRST_PACKET_BURST_S, now=self.loop.time()
+        )
+        self.sockets: dict[int, DatagramSocket] = {}
+        self.packets_at = self.loop.time()
+        node.handlers[Reply] = self.return_datagram
+        node.store.listeners.append(self.apply)
+        node.stack.callback(self.close)
+
+    def apply(self, snapshot: Snapshot) -> None:
+        """Steer by a new configuration and listen on its addresses."""
+        self.steering.apply(snapshot, self.loop.time())
+        self.watch.apply(snapshot)
+        wanted = {service.id: service for service in snapshot.services.values()}
+        for service_id in self.sockets.keys() - wanted.keys():
+            self.sockets.pop(service_id).close()
+        for service_id, service in wanted.items():
+            self._listen(service_id, service)
+
+    def receive(self, service_id: int, datagram: bytes, source: Address) -> None:
+        """Forward one datagram of a caller."""
+        now = self.loop.time()
+        self.packets_at = now
+        service = self.node.snapshot.services[service_id]
+        decision = self.steering.decide(datagram, service, now)
+        if type(decision) is Drop:
+            self._drop(decision, service_id, datagram, source)
+            return
+        if decision.verdict is Verdict.TABLE:
+            if not self.first_packets.try_take(now):
+                self.node.metrics.count("drop.first_packet_rate")
+                return
+            self.detector.record_forward(decision.agent, now)
+        forward = Forward(
+            pack_address(source),
+            service_id,
+            self.node.address,
+            0,
+            decision.alternates,
+            datagram,
+        )
+        envelope = self.node.codec.encode_forward(self.node.generation, forward)
+        self.node.send(envelope, decision.agent, "data")
+
+    def return_datagram(self, reply: Reply, agent: int) -> None:
+        """Send an agent's datagram to the caller from the service's address."""
+        self.detector.record_return(agent)
+        service_socket = self.sockets.get(reply.service)
+        if service_socket is None:
+            self.node.metrics.count("drop.reply_unknown_service")
+            return
+        service_socket.send(reply.payload, unpack_address(reply.client))
+
+    def status(self, parameters: dict) -> dict:
+        """Answer ``plantainyokectl status``."""
+        now = self.loop.time()
+        snapshot = self.node.snapshot
+        return {
+            **self.node.describe(),
+            "zones": {
+                name: round(self.steering.zone_share(zone, now), 2)
+                for zone, name in snapshot.zones.items()
+            },
+            "suspects": {
+                describe_peer(agent): {
+                    "evidence": belief.evidence.value,
+                    "seconds": round(now - belief.since, 1),
+                    "probes_unanswered": belief.probes,
+                }
+                for agent, belief in self.detector.suspects().items()
+            },
+        }
+
+    def explain(self, parameters: dict) -> dict:
+        """Answer ``plantainyokectl explain``: where a connection ID leads."""
+        service = self._find_service(parameters.get("service", ""))
+        try:
+            connection_id = bytes.fromhex(parameters.get("connection_id", ""))
+        except ValueError:
+            return {"error": "connection_id is not hexadecimal"}
+        if service is None:
+            return {"error": "unknown service"}
+        if len(connection_id) == CONNECTION_ID_SIZE:
+            target = self.steering.codec.decode(connection_id)
+            if target is not None:
+                fault = self.steering.check_target(target, service)
+                if fault is None:
+                    return self._explanation("connection_id", [target.agent])
+                return {"choice": None, "refusal": fault.reason}
+        now = self.loop.time()
+        agents = self.steering.candidates(connection_id, service, now)
+        return self._explanation("table", agents)
+
+    def close(self) -> None:
+        """Close the sockets of the services."""
+        for service_socket in self.sockets.values():
+            service_socket.close()
+        self.sockets.clear()
+
+    async def drain(self) -> None:
+        """Go on forwarding until the fabric has stopped sending to us."""
+        started = self.loop.time()
+        log_event("balancer_draining")
+        while self.loop.time() - started < MAX_STOP_S:
+            quiet_s = self.loop.time() - max(self.packets_at, started)
+            if quiet_s >= QUIET_BEFORE_STOP_S:
+                return
+            await asyncio.sleep(QUIET_BEFORE_STOP_S - quiet_s)
+
+    def _explanation(self, reason: str, agents: list[int]) -> dict:
+        zone_of = self.node.snapshot.zone_of_agent
+        names = self.node.snapshot.zones
+        return {
+            "choice": describe_peer(agents[0]) if agents else None,
+            "reason": reason,
+            "generation": self.node.generation,
+            "candidates": [
+                {
+                    "agent": describe_peer(agent),
+                    "zone": names.get(zone_of.get(agent)),
+                    "suspect": self.detector.is_suspect(agent),
+                }
+                for agent in agents
+            ],
+        }
+
+    def _find_service(self, name: str) -> Service | None:
+        for service in self.node.snapshot.services.values():
+            if service.name == name:
+                return service
+        return None
+
+    def _listen(self, service_id: int, service: Service) -> None:
+        host, port = unpack_address(service.address)
+        address = host, port + self.node.settings.balancer.service_port_offset
+        current = self.sockets.get(service_id)
+        if current is not None:
+            if current.address == address:
+                return
+            current.close()
+            del self.sockets[service_id]
+
+        def receive(datagram: bytes, source: Address) -> None:
+            self.receive(service_id, datagram, source)
+
+        try:
+            self.sockets[service_id] = DatagramSocket(
+                address, receive, self.node.metrics
+            )
+        except OSError as error:
+            self.node.metrics.count("balancer.bind_failed")
+            log_event(
+                "bind_failed",
+                service=service.name,
+                address=format_address(address),
+                error=error.strerror,
+            )
+
+    def _drop(
+        self, drop: Drop, service_id: int, datagram: bytes, source: Address
+    ) -> None:
+        self.node.metrics.count(f"drop.{drop.reason}")
+        if drop is ZONE_OUT:
+            self._reset_flow(service_id, datagram, source)
+
+    def _reset_flow(self, service_id: int, datagram: bytes, source: Address) -> None:
+        """Tell a caller that its flow's zone was taken out of service."""
+        if datagram[0] & 0x80:
+            return
+        connection_id = datagram[1 : 1 + CONNECTION_ID_SIZE]
+        secret = self.routing_keys[connection_id[0] >> 5]
+        token = derive_reset_token(secret, connection_id)
+        reset = build_stateless_reset(token, len(datagram))
+        if reset is not None:
+            self.node.metrics.count("balancer.flow_reset")
+            self.sockets[service_id].send(reset, source)
+
+
+async def run_balancer(
+    settings: Settings, stack: AsyncExitStack, *, seed: int | None = None
+) -> Balancer:
+    """Start a balancer; it serves once a configuration is in force."""
+    rng = random.Random(seed)
+    node = await build_node(settings, stack)
+    balancer = Balancer(node, rng)
+    follower = ConfigurationFollower(node, rng)
+    node.follower = follower
+    if settings.control is not None:
+        queries: dict[str, Callable[[dict], dict]] = {
+            "status": balancer.status,
+            "explain": balancer.explain,
+        }
+        await ControlServer(settings.control, queries).start(stack)
+    await follower.bootstrap()
+    follower.start()
+    node.start(balancer.watch.run(), name="target_watch")
+    log_event("balancer_started", listen=settings.listen)
+    return balancer
--- /dev/null
+++ b/plantainyoke/balancer/_watch.py
@@ -0,0 +1,155 @@
+"""Probes agents and spreads what changes."""
+
+import asyncio
+import random
+
+from plantainyoke.configuration import Snapshot
+from plantainyoke.membership import FailureDetector, GossipQueue, plan_watchers
+from plantainyoke.node import Node
+from plantainyoke.node._links import describe_peer
+from plantainyoke.platform import HostList
+from plantainyoke.telemetry import log_event
+from plantainyoke.wire import Condition, Gossip, Probe, ProbeAck, TargetState, Update
+
+PROBE_INTERVAL_S = 0.5
+URGENT_PROBE_INTERVAL_S = 0.3
+SUSPECT_PROBE_INTERVAL_S = 1.0
+TICK_S = 0.1
+GOSSIP_INTERVAL_S = 0.2
+GOSSIP_FANOUT = 2
+URGENT_PROBES_PER_TICK = 20
+
+
+class TargetWatch:
+    """Feeds the failure detector of one balancer.
+
+    Parameters
+    ----------
+    node : Node
+    rng : random.Random
+    """
+
+    def __init__(self, node: Node, rng: random.Random) -> None:
+        self.node = node
+        self.rng = rng
+        self.loop = asyncio.get_running_loop()
+        self.gossip = GossipQueue()
+        self.detector = FailureDetector(self._announce)
+        self.watched: list[int] = []
+        self.planned_for: tuple[Snapshot, HostList] | None = None
+        self.next_probe: dict[int, float] = {}
+        self.agents: set[int] = set()
+        node.handlers[Probe] = self.answer_probe
+        node.handlers[ProbeAck] = self.receive_answer
+        node.handlers[Gossip] = self.receive_gossip
+        node.pauses.listeners.append(self._resume)
+
+    def apply(self, snapshot: Snapshot) -> None:
+        """Watch the agents of a new configuration."""
+        self.agents = set(snapshot.zone_of_agent)
+        self.detector.forget(self.agents)
+
+    def answer_probe(self, probe: Probe, peer: int) -> None:
+        """Answer another process's probe."""
+        ack = ProbeAck(probe.nonce, 0, TargetState.SERVING, 0, 0, 0, 0)
+        envelope = self.node.codec.encode_probe_ack(self.node.generation, ack)
+        self.node.send(envelope, peer, "probe_answer")
+
+    def receive_answer(self, ack: ProbeAck, peer: int) -> None:
+        """Take a probe's answer as a sign of life."""
+        if ack.liveness and peer in self.agents:
+            self.detector.record_answer(peer, ack.liveness, self.loop.time())
+
+    def receive_gossip(self, gossip: Gossip, peer: int) -> None:
+        """Take over changes of belief and pass on what is news."""
+        now = self.loop.time()
+        for update in gossip.updates:
+            if update.target not in self.agents:
+                continue
+            if self.detector.record_gossip(update, now):
+                self.gossip.add(update)
+                self._log_change(update, "gossip")
+
+    async def run(self) -> None:
+        """Probe and gossip until cancelled."""
+        gossip_at = 0.0
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.loop.time()
+            self.node.pauses.check(now)
+            self._plan()
+            self._probe_due(now)
+            if now >= gossip_at:
+                gossip_at = now + GOSSIP_INTERVAL_S
+                self._send_gossip()
+
+    def _plan(self) -> None:
+        current = (self.node.snapshot, self.node.hosts)
+        if self.planned_for is not None and all(
+            old is new for old, new in zip(self.planned_for, current, strict=True)
+        ):
+            return
+        self.planned_for = current
+        zones_out = self.node.snapshot.zones_out
+        agents = {
+            agent: zone
+            for agent, zone in self.node.snapshot.zone_of_agent.items()
+            if zone not in zones_out
+        }
+        self.watched = plan_watchers(self.node.hosts, agents, self.node.address)
+
+    def _probe_due(self, now: float) -> None:
+        self.detector.expire(now)
+        urgent = list(self.detector.urgent)[:URGENT_PROBES_PER_TICK]
+        for agent in urgent:
+            if not self.node.allows(agent):
+                self.detector.urgent.discard(agent)
+                continue
+            suspect = self.detector.is_suspect(agent)
+            interval = SUSPECT_PROBE_INTERVAL_S if suspect else URGENT_PROBE_INTERVAL_S
+            self._probe_if_due(agent, now, interval)
+        for agent in self.watched:
+            if agent not in self.detector.urgent:
+                self._probe_if_due(agent, now, PROBE_INTERVAL_S)
+
+    def _probe_if_due(self, agent: int, now: float, interval: float) -> None:
+        if now < self.next_probe.get(agent, 0.0):
+            return
+        self.next_probe[agent] = now + interval * (0.9 + 0.2 * self.rng.random())
+        suspected = self.detector.suspected_at(agent)
+        probe = Probe(self.rng.getrandbits(63), True, suspected)
+        envelope = self.node.codec.encode_probe(self.node.generation, probe)
+        if self.node.send(envelope, agent, "probe"):
+            self.detector.record_probe(agent, now)
+
+    def _send_gossip(self) -> None:
+        peers = [
+            entry.address
+            for entry in self.node.hosts.balancers()
+            if entry.address != self.node.address and self.node.allows(entry.address)
+        ]
+        if not peers or not self.gossip.pending:
+            return
+        for peer in self.rng.sample(peers, min(GOSSIP_FANOUT, len(peers))):
+            updates = self.gossip.take(len(peers))
+            if not updates:
+                return
+            envelope = self.node.codec.encode_gossip(
+                self.node.generation, Gossip(updates)
+            )
+            self.node.send(envelope, peer, "gossip")
+
+    def _announce(self, update: Update) -> None:
+        self.gossip.add(update)
+        self._log_change(update, "own")
+
+    def _log_change(self, update: Update, evidence: str) -> None:
+        suspect = update.condition is Condition.SUSPECT
+        name = "target_suspected" if suspect else "target_refuted"
+        self.node.metrics.count(f"detector.{name}")
+        log_event(name, target=describe_peer(update.target), evidence=evidence)
+
+    def _resume(self, gap_s: float) -> None:
+        self.node.metrics.count("process.paused")
+        log_event("process_paused", seconds=round(gap_s, 2))
+        self.detector.resume(self.loop.time())
--- /dev/null
+++ b/plantainyoke/caller/_connection.py
@@ -0,0 +1,263 @@
+"""One QUIC connection of a caller."""
+
+import asyncio
+import itertools
+from contextlib import AsyncExitStack
+
+from aioquic.h3.connection import H3_ALPN
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.events import (
+    HandshakeCompleted,
+    PingAcknowledged,
+    QuicEvent,
+    StreamReset,
+)
+
+from plantainyoke.caller._errors import (
+    AnswerCutError,
+    ConnectError,
+    ConnectionLostError,
+    RefusedError,
+)
+from plantainyoke.caller._stream import Headers, ResponseStream
+from plantainyoke.node import DatagramSocket
+from plantainyoke.quic import (
+    NO_ERROR,
+    REQUEST_CANCELLED,
+    REQUEST_REJECTED,
+    ConnectionDriver,
+    ControlledH3Connection,
+    SessionQuicConnection,
+    server_source_id,
+)
+from plantainyoke.telemetry import Metrics
+from plantainyoke.wire import Address
+
+IDLE_TIMEOUT_S = 60.0
+ACTIVE_PING_INTERVAL_S = 0.5
+IDLE_PING_INTERVAL_S = 15.0
+SILENCE_S = 1.6
+CHECK_INTERVAL_S = 0.1
+
+
+class CallerConnection:
+    """A connection to whichever agent answers.
+
+    Parameters
+    ----------
+    address : Address
+        Service address.
+    server_name : str
+    certificate_authority : str
+        Path of a PEM file.
+    epoch : int, default=0
+        Number of this connection in its session.
+    token : bytes, default=b""
+        Connection ID of the agent to reach, empty for any.
+
+    Attributes
+    ----------
+    lost : asyncio.Event
+        Set when the connection ended.
+    silent : asyncio.Event
+        Set while nothing arrives although probes are sent.
+    retiring : asyncio.Event
+        Set when the agent asked to move to another connection.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        *,
+        server_name: str,
+        certificate_authority: str,
+        epoch: int = 0,
+        token: bytes = b"",
+    ) -> None:
+        self.address = address
+        self.epoch = epoch
+        configuration = QuicConfiguration(
+            is_client=True,
+            alpn_protocols=H3_ALPN,
+            server_name=server_name,
+            idle_timeout=IDLE_TIMEOUT_S,
+            token=token,
+        )
+        configuration.load_verify_locations(certificate_authority)
+        self.quic = SessionQuicConnection(configuration=configuration)
+        self.driver = ConnectionDriver(self.quic, self._send, self._handle_event)
+        self.loop = asyncio.get_running_loop()
+        self.stack = AsyncExitStack()
+        self.socket: DatagramSocket | None = None
+        self.h3: ControlledH3Connection | None = None
+        self.streams: dict[int, ResponseStream] = {}
+        self.settings = asyncio.Event()
+        self.lost = asyncio.Event()
+        self.silent = asyncio.Event()
+        self.retiring = asyncio.Event()
+        self.pings = itertools.count(1)
+
+    async def open(self, timeout_s: float) -> None:
+        """Complete the handshake and learn the agent's incarnation.
+
+        Raises
+        ------
+        ConnectError
+        """
+        self.socket = DatagramSocket(("0.0.0.0", 0), self._receive, Metrics())
+        self.stack.callback(self.socket.close)
+        self.quic.connect(self.address, now=self.loop.time())
+        for coroutine in (self._run(), self._probe()):
+            task = self.loop.create_task(coroutine)
+            self.stack.push_async_callback(_cancel, task)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._wait_settings()
+        except TimeoutError:
+            await self.aclose()
+            raise ConnectError("handshake timed out") from None
+        if self.lost.is_set():
+            await self.aclose()
+            raise ConnectError("handshake failed")
+
+    @property
+    def incarnation(self) -> int:
+        """Incarnation of the agent."""
+        return self.h3.peer_incarnation or 0
+
+    @property
+    def token(self) -> bytes:
+        """Token that leads a new connection to the same agent."""
+        return server_source_id(self.quic) or b""
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether new requests should be sent on it."""
+        return not (
+            self.lost.is_set() or self.silent.is_set() or self.retiring.is_set()
+        )
+
+    def send_request(self, headers: Headers, body: bytes) -> ResponseStream:
+        """Send a request.
+
+        Raises
+        ------
+        ConnectionLostError
+        """
+        if self.lost.is_set():
+            raise ConnectionLostError
+        stream_id = self.quic.get_next_available_stream_id()
+        stream = ResponseStream(stream_id)
+        self.streams[stream_id] = stream
+        self.h3.send_headers(stream_id, headers, end_stream=not body)
+        if body:
+            self.h3.send_data(stream_id, body, end_stream=True)
+        self.driver.wake()
+        return stream
+
+    def cancel(self, stream: ResponseStream) -> None:
+        """Give up a request."""
+        if self.streams.pop(stream.stream_id, None) is None or stream.is_ended:
+            return
+        if not self.lost.is_set():
+            self.quic.stop_stream(stream.stream_id, REQUEST_CANCELLED)
+            self.quic.reset_stream(stream.stream_id, REQUEST_CANCELLED)
+            self.driver.wake()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        if not self.lost.is_set():
+            self.quic.close(error_code=NO_ERROR)
+            self.driver.flush()
+        await self.stack.aclose()
+        self._end()
+
+    async def _wait_settings(self) -> None:
+        waits = [
+            self.loop.create_task(event.wait()) for event in (self.settings, self.lost)
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+
+    async def _run(self) -> None:
+        try:
+            await self.driver.run()
+        finally:
+            self._end()
+
+    def _end(self) -> None:
+        self.lost.set()
+        for stream in self.streams.values():
+            stream.end(ConnectionLostError())
+
+    def _send(self, datagram: bytes, destination: Address) -> None:
+        self.socket.send(datagram, destination)
+
+    def _receive(self, datagram: bytes, source: Address) -> None:
+        if self.quic.is_stateless_reset(datagram):
+            self._end()
+            return
+        self.silent.clear()
+        self.driver.feed(datagram, source)
+
+    def _handle_event(self, event: QuicEvent) -> None:
+        if isinstance(event, HandshakeCompleted):
+            self.h3 = ControlledH3Connection(self.quic)
+        if isinstance(event, PingAcknowledged) or self.h3 is None:
+            return
+        if isinstance(event, StreamReset):
+            self._end_stream(event.stream_id, event.error_code)
+        for h3_event in self.h3.handle_event(event):
+            self._handle_h3_event(h3_event)
+        if self.h3.peer_incarnation is not None:
+            self.settings.set()
+        if self.h3.goaway_received:
+            self.retiring.set()
+
+    def _handle_h3_event(self, event: H3Event) -> None:
+        if not isinstance(event, HeadersReceived | DataReceived):
+            return
+        stream = self.streams.get(event.stream_id)
+        if stream is None:
+            return
+        if isinstance(event, HeadersReceived):
+            stream.receive_headers(event.headers)
+        else:
+            stream.receive_data(event.data)
+        if event.stream_ended:
+            stream.end()
+            del self.streams[event.stream_id]
+
+    def _end_stream(self, stream_id: int, error_code: int) -> None:
+        stream = self.streams.pop(stream_id, None)
+        if stream is None:
+            return
+        if error_code == REQUEST_REJECTED:
+            stream.end(RefusedError("rejected"))
+        else:
+            stream.end(AnswerCutError())
+
+    async def _probe(self) -> None:
+        """Send PING frames and notice when nothing comes back."""
+        pinged_at = self.loop.time()
+        while not self.lost.is_set():
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now = self.loop.time()
+            quiet_s = now - max(self.driver.received_at, 0.0)
+            is_active = bool(self.streams)
+            interval = ACTIVE_PING_INTERVAL_S if is_active else IDLE_PING_INTERVAL_S
+            if quiet_s >= interval and now - pinged_at >= interval:
+                pinged_at = now
+                self.quic.send_ping(next(self.pings))
+                self.driver.wake()
+            if is_active and quiet_s >= SILENCE_S and now - pinged_at < SILENCE_S:
+                self.silent.set()
+
+
+async def _cancel(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/plantainyoke/configuration/_build.py
@@ -0,0 +1,122 @@
+"""Turns service files into the documents that are published."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from plantainyoke.configuration._documents import (
+    MAX_VALUE_SIZE,
+    Chunk,
+    Index,
+    ServiceRecord,
+    chunk_position,
+    digest_of,
+)
+from plantainyoke.configuration._errors import (
+    ConfigurationError,
+    Fault,
+    FaultsError,
+    GenerationError,
+)
+from plantainyoke.configuration._service_files import FleetFile, ServiceFile
+from plantainyoke.routing import service_identifier
+from plantainyoke.wire import pack_address, parse_address
+
+CHUNK_TARGET_SIZE = 32_768  # bytes; one changed service re-sends one chunk
+MAX_CHUNK_COUNT = 4_096
+
+
+@dataclass(frozen=True, slots=True)
+class BuiltConfiguration:
+    """Documents of one generation.
+
+    Attributes
+    ----------
+    index : bytes
+    chunks : dict of str to bytes
+        Chunk documents by digest.
+    """
+
+    index: bytes
+    chunks: dict[str, bytes]
+
+
+def build_configuration(
+    fleet: FleetFile,
+    services: Sequence[ServiceFile],
+    *,
+    previous: Index | None = None,
+) -> Result[BuiltConfiguration, ConfigurationError]:
+    """Build the index and chunks of one generation.
+
+    Parameters
+    ----------
+    fleet : FleetFile
+    services : sequence of ServiceFile
+    previous : Index, default=None
+        The index in force; its chunk count is kept where the sizes allow, so
+        that one changed service changes one chunk.
+    """
+    if previous is not None and fleet.generation <= previous.generation:
+        return Failure(GenerationError(fleet.generation, previous.generation))
+    records = sorted((_service_record(item) for item in services), key=_record_name)
+    count = _chunk_count(records, previous)
+    documents = _chunk_documents(records, count)
+    faults = [
+        Fault("build", "", f"a chunk of {len(document)} bytes is over 1 MB")
+        for document in documents
+        if len(document) > MAX_VALUE_SIZE
+    ]
+    if faults:
+        return Failure(FaultsError(faults))
+    digests = [digest_of(document) for document in documents]
+    index = Index(
+        generation=fleet.generation,
+        zones=fleet.zones,
+        networks=fleet.networks,
+        chunks=digests,
+    )
+    encoded = index.model_dump_json().encode()
+    return Success(
+        BuiltConfiguration(encoded, dict(zip(digests, documents, strict=True)))
+    )
+
+
+def _record_name(record: ServiceRecord) -> str:
+    return record.name
+
+
+def _service_record(service: ServiceFile) -> ServiceRecord:
+    targets = defaultdict(list)
+    for target in service.targets:
+        targets[target.zone].append(pack_address(parse_address(target.agent)))
+    return ServiceRecord(
+        name=service.service,
+        address=pack_address(parse_address(service.address)),
+        slots=service.slots,
+        cold_slots=service.cold_slots,
+        request_timeout_ms=service.request_timeout_ms,
+        shed_status=service.shed_status,
+        targets={zone: sorted(agents) for zone, agents in sorted(targets.items())},
+    )
+
+
+def _chunk_count(records, previous: Index | None) -> int:
+    size = sum(len(record.model_dump_json()) for record in records)
+    wanted = 1
+    while wanted < MAX_CHUNK_COUNT and size / wanted > CHUNK_TARGET_SIZE:
+        wanted *= 2
+    if previous is None:
+        return wanted
+    kept = len(previous.chunks)
+    return kept if wanted <= 2 * kept and kept <= 4 * wanted else wanted
+
+
+def _chunk_documents(records, count: int) -> list[bytes]:
+    shares: list[list[ServiceRecord]] = [[] for _ in range(count)]
+    for record in records:
+        position = chunk_position(service_identifier(record.name), count)
+        shares[position].append(record)
+    return [Chunk(services=share).model_dump_json().encode() for share in shares]
--- /dev/null
+++ b/plantainyoke/configuration/_service_files.py
@@ -0,0 +1,177 @@
+"""Service files kept beside the services' code, and the fleet file."""
+
+import ipaddress
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, Field
+from returns.result import Failure, Result, Success
+
+from plantainyoke.configuration._errors import Fault, FaultsError
+from plantainyoke.configuration._validation import (
+    NAME_PATTERN,
+    AddressText,
+    StrictModel,
+    read_model,
+)
+from plantainyoke.routing import service_identifier, zone_identifier
+
+FLEET_FILE_NAME = "fleet.yaml"
+FILE_PATTERNS = ("*.yaml", "*.yml")
+MAX_TARGETS_PER_SERVICE = 10_000
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+
+
+def _check_network(text: str) -> str:
+    ipaddress.IPv4Network(text)
+    return text
+
+
+NetworkText = Annotated[str, AfterValidator(_check_network)]
+
+
+class FleetFile(StrictModel):
+    """What all services share.
+
+    Attributes
+    ----------
+    generation : int
+        Rises with each publication.
+    zones : dict of str to {"in", "out"}
+        Availability zones, in service or taken out.
+    networks : list of str
+        Networks that agents may be in.
+    """
+
+    generation: int = Field(ge=1, lt=1 << 63)
+    zones: dict[Name, Literal["in", "out"]] = Field(min_length=1)
+    networks: list[NetworkText] = Field(min_length=1)
+
+
+class TargetEntry(StrictModel):
+    """One target: the agent beside an upstream and its availability zone."""
+
+    agent: AddressText
+    zone: Name
+
+
+class ServiceFile(StrictModel):
+    """One service.
+
+    Attributes
+    ----------
+    service : str
+    address : str
+        IPv4 address and UDP port that callers use.
+    slots : int
+        Requests that one upstream runs at a time.
+    cold_slots : int, default=1
+        Requests that an upstream in cold start bears.
+    request_timeout_ms : int, default=30000
+        Longest time for one request.
+    shed_status : int, optional
+        Status with which the upstream declares that it did not run a request.
+    targets : list of TargetEntry
+    """
+
+    service: Name
+    address: AddressText
+    slots: int = Field(ge=1, le=10_000)
+    cold_slots: int = Field(default=1, ge=1, le=10_000)
+    request_timeout_ms: int = Field(default=30_000, ge=10, le=3_600_000)
+    shed_status: int | None = Field(default=None, ge=400, le=599)
+    targets: list[TargetEntry] = Field(min_length=1, max_length=MAX_TARGETS_PER_SERVICE)
+
+
+def load_fleet(
+    directory: Path,
+) -> Result[tuple[FleetFile, list[ServiceFile]], FaultsError]:
+    """Read the fleet file and every service file below a directory.
+
+    Returns
+    -------
+    Success of (FleetFile, list of ServiceFile), or Failure of FaultsError with
+    the faults of all files.
+    """
+    faults: list[Fault] = []
+    if not directory.is_dir():
+        return Failure(FaultsError([Fault(str(directory), "", "not a directory")]))
+    fleet = _collect(read_model(directory / FLEET_FILE_NAME, FleetFile), faults)
+    services: list[tuple[str, ServiceFile]] = []
+    for path in _service_paths(directory):
+        service = _collect(read_model(path, ServiceFile), faults)
+        if service is not None:
+            services.append((str(path.relative_to(directory)), service))
+    if not services and not faults:
+        faults.append(Fault(str(directory), "", "no service files"))
+    zones = fleet.zones if fleet is not None else None
+    faults.extend(_check_together(services, zones, fleet))
+    if faults:
+        return Failure(FaultsError(faults))
+    return Success((fleet, [service for _, service in services]))
+
+
+def _service_paths(directory: Path) -> list[Path]:
+    paths = [path for pattern in FILE_PATTERNS for path in directory.rglob(pattern)]
+    return sorted(path for path in paths if path != directory / FLEET_FILE_NAME)
+
+
+def _collect(result, faults: list[Fault]):
+    if isinstance(result, Failure):
+        faults.extend(result.failure())
+        return None
+    return result.unwrap()
+
+
+def _check_together(services, zones, fleet) -> list[Fault]:
+    faults: list[Fault] = []
+    owners: dict[tuple[str, object], str] = {}
+
+    def claim(kind: str, value, source: str, path: str) -> None:
+        owner = owners.setdefault((kind, value), source)
+        if owner != source or (source, kind, value) in claimed:
+            faults.append(Fault(source, path, f"{kind} {value} is also in {owner}"))
+        claimed.add((source, kind, value))
+
+    claimed: set[tuple[str, str, object]] = set()
+    networks = [ipaddress.IPv4Network(text) for text in fleet.networks] if fleet else []
+    for source, service in services:
+        claim("service", service.service, source, "service")
+        claim(
+            "service identifier",
+            service_identifier(service.service),
+            source,
+            "service",
+        )
+        claim("address", service.address, source, "address")
+        if service.cold_slots > service.slots:
+            faults.append(Fault(source, "cold_slots", "is above slots"))
+        for index, target in enumerate(service.targets):
+            place = f"targets.{index}"
+            claim("target", target.agent, source, f"{place}.agent")
+            if zones is not None and target.zone not in zones:
+                problem = f"unknown availability zone {target.zone}"
+                faults.append(Fault(source, f"{place}.zone", problem))
+            faults.extend(_check_network_of(target, networks, source, place))
+    faults.extend(_check_zone_identifiers(zones))
+    return faults
+
+
+def _check_network_of(target, networks, source, place) -> list[Fault]:
+    address = ipaddress.IPv4Address(target.agent.rpartition(":")[0])
+    if not networks or any(address in network for network in networks):
+        return []
+    problem = f"{target.agent} is outside the networks of {FLEET_FILE_NAME}"
+    return [Fault(source, f"{place}.agent", problem)]
+
+
+def _check_zone_identifiers(zones) -> list[Fault]:
+    owners: dict[int, str] = {}
+    faults = []
+    for zone in zones or ():
+        other = owners.setdefault(zone_identifier(zone), zone)
+        if other != zone:
+            problem = f"identifier equals that of {other}; rename one"
+            faults.append(Fault(FLEET_FILE_NAME, f"zones.{zone}", problem))
+    return faults
--- /dev/null
+++ b/plantainyoke/configuration/_settings.py
@@ -0,0 +1,193 @@
+"""Settings of one process."""
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, Field, model_validator
+from returns.result import Failure, Result, Success
+
+from plantainyoke.configuration._errors import FaultsError
+from plantainyoke.configuration._service_files import Name
+from plantainyoke.configuration._validation import (
+    AddressText,
+    StrictModel,
+    read_model,
+)
+from plantainyoke.routing import RoutingKey
+
+SECRET_PATTERN = r"^[0-9a-f]{32,128}$"
+ROUTING_SECRET_PATTERN = r"^[0-9a-f]{32}$"
+
+
+def _check_http_url(text: str) -> str:
+    if not text.startswith(("http://", "https://")):
+        raise ValueError("must start with http:// or https://")
+    return text.rstrip("/")
+
+
+HttpUrl = Annotated[str, AfterValidator(_check_http_url)]
+
+
+class RoutingKeySettings(StrictModel):
+    """One key of the connection IDs."""
+
+    rotation: int = Field(ge=0, le=6)
+    secret: str = Field(pattern=ROUTING_SECRET_PATTERN)
+
+
+class KeySettings(StrictModel):
+    """Keys that all processes of one fleet share.
+
+    Attributes
+    ----------
+    peer : list of str
+        Hexadecimal keys of the messages between processes; the first signs.
+    routing : list of RoutingKeySettings
+        Keys of the connection IDs; the first issues, two during a rotation.
+    """
+
+    peer: list[Annotated[str, Field(pattern=SECRET_PATTERN)]] = Field(
+        min_length=1, max_length=2
+    )
+    routing: list[RoutingKeySettings] = Field(min_length=1, max_length=2)
+
+    @model_validator(mode="after")
+    def _check_rotations(self):
+        rotations = [key.rotation for key in self.routing]
+        if len(set(rotations)) != len(rotations):
+            raise ValueError("routing keys share a rotation number")
+        return self
+
+    @property
+    def peer_keys(self) -> list[bytes]:
+        """Peer keys as bytes."""
+        return [bytes.fromhex(key) for key in self.peer]
+
+    @property
+    def routing_keys(self) -> list[RoutingKey]:
+        """Routing keys as the codec takes them."""
+        return [
+            RoutingKey(key.rotation, bytes.fromhex(key.secret)) for key in self.routing
+        ]
+
+
+class BalancerSettings(StrictModel):
+    """Settings of the balancer role.
+
+    Attributes
+    ----------
+    service_port_offset : int, default=0
+        Added to each service's port when binding; lets several balancers share
+        a machine behind a fabric that knows the offset.
+    first_packets_per_s : int, default=2000
+        Initial packets beyond this rate are dropped.
+    """
+
+    service_port_offset: int = Field(default=0, ge=0, le=50_000)
+    first_packets_per_s: int = Field(default=2_000, ge=1)
+
+
+class AgentSettings(StrictModel):
+    """Settings of the agent role.
+
+    Attributes
+    ----------
+    service : str
+    upstream : str
+        Base URL of the upstream beside this agent.
+    certificate, private_key : str
+        Paths of PEM files.
+    max_connections : int, default=4000
+    record_capacity : int, default=10000
+        Idempotency records kept.
+    record_retention_s : float, default=300.0
+        Shortest time for which a finished record is kept.
+    drain_timeout_s : float, default=20.0
+        Longest graceful shutdown.
+    """
+
+    service: Name
+    upstream: HttpUrl
+    certificate: str
+    private_key: str
+    max_connections: int = Field(default=4_000, ge=1)
+    record_capacity: int = Field(default=10_000, ge=1)
+    record_retention_s: float = Field(default=300.0, gt=0)
+    drain_timeout_s: float = Field(default=20.0, gt=0)
+
+
+class Settings(StrictModel):
+    """Settings of one process.
+
+    Attributes
+    ----------
+    name : str
+    role : {"balancer", "agent"}
+    zone : str
+        Availability zone of this process.
+    listen : str
+        Address for other processes of the system, UDP and TCP.
+    control : str, optional
+        Loopback address of ``plantainyokectl status`` and ``explain``.
+    platform : str
+        Base URL of the configuration service.
+    seeds : list of str
+        Processes to ask when the platform does not answer.
+    keys : KeySettings or str
+        The keys, or the path of a YAML file that holds them.
+    statsd : str, optional
+        Address of the metrics server.
+    """
+
+    name: Name
+    role: Literal["balancer", "agent"]
+    zone: Name
+    listen: AddressText
+    control: AddressText | None = None
+    platform: HttpUrl
+    seeds: list[AddressText] = Field(default_factory=list)
+    keys: KeySettings | str
+    statsd: AddressText | None = None
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    balancer: BalancerSettings = BalancerSettings()
+    agent: AgentSettings | None = None
+
+    @model_validator(mode="after")
+    def _check_role(self):
+        if self.role == "agent" and self.agent is None:
+            raise ValueError("role agent needs the section 'agent'")
+        if self.role == "balancer" and self.agent is not None:
+            raise ValueError("role balancer takes no section 'agent'")
+        return self
+
+
+def load_settings(path: Path) -> Result[Settings, FaultsError]:
+    """Read settings, and the key file that they name.
+
+    Relative paths in the file are relative to the file.
+    """
+    result = read_model(path, Settings)
+    if isinstance(result, Failure):
+        return Failure(FaultsError(result.failure()))
+    settings = _resolve_paths(result.unwrap(), path.parent)
+    if isinstance(settings.keys, KeySettings):
+        return Success(settings)
+    keys = read_model(Path(settings.keys), KeySettings)
+    if isinstance(keys, Failure):
+        return Failure(FaultsError(keys.failure()))
+    return Success(settings.model_copy(update={"keys": keys.unwrap()}))
+
+
+def _resolve_paths(settings: Settings, base: Path) -> Settings:
+    update = {}
+    if isinstance(settings.keys, str):
+        update["keys"] = str(base / settings.keys)
+    if settings.agent is not None:
+        agent = settings.agent
+        update["agent"] = agent.model_copy(
+            update={
+                "certificate": str(base / agent.certificate),
+                "private_key": str(base / agent.private_key),
+            }
+        )
+    return settings.model_copy(update=update)
--- /dev/null
+++ b/plantainyoke/configuration/_snapshot.py
@@ -0,0 +1,142 @@
+"""The configuration in force, in the form that decisions read."""
+
+import ipaddress
+from dataclasses import dataclass, field
+from functools import cached_property
+
+from plantainyoke.configuration._documents import Chunk, Index, ServiceRecord
+from plantainyoke.routing import CandidateTable, service_identifier, zone_identifier
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRecord:
+    """One target of a service."""
+
+    agent: int
+    zone: int
+
+
+class Service:
+    """One service of a snapshot.
+
+    Attributes
+    ----------
+    id, name
+    address : int
+        Packed address that callers use.
+    targets : tuple of TargetRecord
+    """
+
+    __slots__ = ("id", "name", "address", "record", "targets", "_tables")
+
+    def __init__(self, record: ServiceRecord) -> None:
+        self.id = service_identifier(record.name)
+        self.name = record.name
+        self.address = record.address
+        self.record = record
+        self.targets = tuple(
+            TargetRecord(agent, zone_identifier(zone))
+            for zone, agents in record.targets.items()
+            for agent in agents
+        )
+        self._tables: dict[frozenset[int], CandidateTable] = {}
+
+    def table(self, zones_out: frozenset[int]) -> CandidateTable:
+        """Return the choice table of the targets whose zone is in service."""
+        table = self._tables.get(zones_out)
+        if table is None:
+            agents = [item.agent for item in self.targets if item.zone not in zones_out]
+            table = CandidateTable(agents)
+            self._tables = {zones_out: table}
+        return table
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """One applied generation.
+
+    Attributes
+    ----------
+    generation : int
+        0 before any configuration arrived.
+    digest : str
+        Digest of the index; breaks ties between documents of one generation.
+    zones : dict of int to str
+        Names by zone identifier.
+    zones_out : frozenset of int
+        Identifiers of zones taken out of service.
+    services : dict of int to Service
+    networks : tuple of IPv4Network
+    """
+
+    generation: int = 0
+    digest: str = ""
+    zones: dict[int, str] = field(default_factory=dict)
+    zones_out: frozenset[int] = frozenset()
+    services: dict[int, Service] = field(default_factory=dict)
+    networks: tuple[ipaddress.IPv4Network, ...] = ()
+
+    @property
+    def version(self) -> tuple[int, str]:
+        """Total order of configurations."""
+        return self.generation, self.digest
+
+    @cached_property
+    def zone_of_agent(self) -> dict[int, int]:
+        """Zone identifier by packed agent address."""
+        return {
+            target.agent: target.zone
+            for service in self.services.values()
+            for target in service.targets
+        }
+
+    @cached_property
+    def network_ranges(self) -> tuple[tuple[int, int], ...]:
+        """First and last packed IPv4 address of each network."""
+        return tuple(
+            (int(network.network_address), int(network.broadcast_address))
+            for network in self.networks
+        )
+
+    def allows_agent(self, agent: int) -> bool:
+        """Tell whether a packed address is within the agents' networks."""
+        ip = agent >> 16
+        return any(first <= ip <= last for first, last in self.network_ranges)
+
+
+def build_snapshot(
+    index: Index,
+    digest: str,
+    chunks: list[Chunk],
+    *,
+    reuse: Snapshot,
+) -> Snapshot:
+    """Return the snapshot of an index and its chunks.
+
+    Parameters
+    ----------
+    index : Index
+    digest : str
+    chunks : list of Chunk
+    reuse : Snapshot
+        Unchanged services, with their tables, are taken from it.
+    """
+    services = {}
+    for chunk in chunks:
+        for record in chunk.services:
+            old = reuse.services.get(service_identifier(record.name))
+            unchanged = old is not None and old.record == record
+            service = old if unchanged else Service(record)
+            services[service.id] = service
+    return Snapshot(
+        generation=index.generation,
+        digest=digest,
+        zones={zone_identifier(name): name for name in index.zones},
+        zones_out=frozenset(
+            zone_identifier(name)
+            for name, state in index.zones.items()
+            if state == "out"
+        ),
+        services=services,
+        networks=tuple(ipaddress.IPv4Network(text) for text in index.networks),
+    )
--- /dev/null
+++ b/plantainyoke/configuration/_store.py
@@ -0,0 +1,115 @@
+"""Applies whole verified generations that only rise."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from plantainyoke.configuration._documents import (
+    Chunk,
+    Index,
+    chunk_position,
+    digest_of,
+    parse_chunk,
+    parse_index,
+)
+from plantainyoke.configuration._errors import DocumentError
+from plantainyoke.configuration._snapshot import Snapshot, build_snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A newer index whose chunks are not all here yet."""
+
+    index: Index
+    document: bytes
+    digest: str
+    missing: tuple[str, ...]
+
+
+class ConfigurationStore:
+    """Holds the configuration in force and its documents.
+
+    Parameters
+    ----------
+    service_id : int, default=None
+        If given, only the chunk of this service is kept and applied.
+    """
+
+    def __init__(self, service_id: int | None = None) -> None:
+        self.service_id = service_id
+        self.snapshot = Snapshot()
+        self.index_document = b""
+        self.chunks: dict[str, Chunk] = {}
+        self.documents: dict[str, bytes] = {}
+        self.listeners: list[Callable[[Snapshot], None]] = []
+
+    def evaluate(self, document: bytes) -> Result[Offer | None, DocumentError]:
+        """Return an offer if an index is newer than the one in force.
+
+        Configurations are ordered by generation, then by digest: of two
+        documents with one generation every process ends with the same one.
+        """
+        digest = digest_of(document)
+        if digest == self.snapshot.digest:
+            return Success(None)
+        parsed = parse_index(document)
+        if isinstance(parsed, Failure):
+            return parsed
+        index = parsed.unwrap()
+        if (index.generation, digest) <= self.snapshot.version:
+            return Success(None)
+        missing = tuple(
+            dict.fromkeys(
+                name for name in self.wanted(index) if name not in self.chunks
+            )
+        )
+        return Success(Offer(index, document, digest, missing))
+
+    def wanted(self, index: Index) -> list[str]:
+        """Return the digests of the chunks that this process applies."""
+        if self.service_id is None:
+            return index.chunks
+        return [index.chunks[chunk_position(self.service_id, len(index.chunks))]]
+
+    def apply(self, offer: Offer, documents: dict[str, bytes]) -> Result:
+        """Apply a whole generation or nothing.
+
+        Parameters
+        ----------
+        offer : Offer
+        documents : dict of str to bytes
+            The missing chunks by digest.
+
+        Returns
+        -------
+        Success of the Snapshot in force, or Failure of DocumentError.
+        """
+        if (offer.index.generation, offer.digest) <= self.snapshot.version:
+            return Success(self.snapshot)
+        chunks = {}
+        for digest in self.wanted(offer.index):
+            chunk = self._take_chunk(digest, documents)
+            if isinstance(chunk, Failure):
+                return chunk
+            chunks[digest] = chunk.unwrap()
+        self._commit(offer, chunks, documents)
+        return Success(self.snapshot)
+
+    def _take_chunk(self, digest: str, documents) -> Result[Chunk, DocumentError]:
+        if digest in self.chunks:
+            return Success(self.chunks[digest])
+        if digest not in documents:
+            return Failure(DocumentError(f"chunk {digest[:12]}", "missing"))
+        return parse_chunk(documents[digest], digest)
+
+    def _commit(self, offer: Offer, chunks, documents) -> None:
+        held = {**self.documents, **documents}
+        self.snapshot = build_snapshot(
+            offer.index, offer.digest, list(chunks.values()), reuse=self.snapshot
+        )
+        self.index_document = offer.document
+        self.chunks = chunks
+        self.documents = {digest: held[digest] for digest in chunks}
+        for listener in self.listeners:
+            listener(self.snapshot)
--- /dev/null
+++ b/plantainyoke/configuration/_validation.py
@@ -0,0 +1,72 @@
+"""Reading YAML files into validated models."""
+
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import yaml
+from pydantic import AfterValidator, BaseModel, ConfigDict, ValidationError
+from returns.result import Failure, Result, Success
+
+from plantainyoke.configuration._errors import Fault
+from plantainyoke.wire import parse_address
+
+Model = TypeVar("Model", bound=BaseModel)
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+
+
+class StrictModel(BaseModel):
+    """A model that refuses unknown keys and wrong types."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+def check_address(text: str) -> str:
+    """Validate ``"host:port"`` and return it unchanged."""
+    parse_address(text)
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(check_address)]
+
+
+class _UniqueKeyLoader(yaml.SafeLoader):
+    """Refuses mappings that name a key twice."""
+
+    def construct_mapping(self, node, deep=False):
+        seen = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, deep=deep)
+            if key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key!r} appears twice", key_node.start_mark
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep)
+
+
+def read_model(path: Path, model: type[Model]) -> Result[Model, list[Fault]]:
+    """Read one YAML file and return its model or all of its faults."""
+    try:
+        content = yaml.load(path.read_text(encoding="utf-8"), _UniqueKeyLoader)
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "not a UTF-8 text file"
+        return Failure([Fault(path.name, "", reason)])
+    except (yaml.YAMLError, TypeError) as error:
+        return Failure([_yaml_fault(path, error)])
+    try:
+        return Success(model.model_validate(content))
+    except ValidationError as error:
+        return Failure([_model_fault(path, item) for item in error.errors()])
+
+
+def _yaml_fault(path: Path, error: Exception) -> Fault:
+    mark = getattr(error, "problem_mark", None)
+    place = f"line {mark.line + 1}" if mark is not None else ""
+    problem = getattr(error, "problem", None) or "not valid YAML"
+    return Fault(path.name, place, " ".join(str(problem).split()))
+
+
+def _model_fault(path: Path, item) -> Fault:
+    place = ".".join(str(part) for part in item["loc"])
+    return Fault(path.name, place, " ".join(item["msg"].split()))
--- /dev/null
+++ b/plantainyoke/conftest.py
@@ -0,0 +1,30 @@
+"""Shared fixtures of the tests."""
+
+import os
+from collections.abc import Awaitable, Callable
+
+import pytest
+import uvloop
+from hypothesis import settings
+
+settings.register_profile(
+    "deterministic", derandomize=True, deadline=None, database=None
+)
+settings.load_profile("deterministic")
+
+FIRST_NETWORK = 32
+NETWORKS = 200
+_next_network = iter(range(10**6))
+
+
+@pytest.fixture
+def network() -> str:
+    """Return two octets of loopback addresses that no other test uses now."""
+    number = (os.getpid() * 7 + next(_next_network)) % NETWORKS
+    return f"127.{FIRST_NETWORK + number}"
+
+
+@pytest.fixture
+def run() -> Callable[[Awaitable], object]:
+    """Return a function that runs a coroutine on a fresh event loop."""
+    return uvloop.run
--- /dev/null
+++ b/plantainyoke/node/__init__.py
@@ -0,0 +1,20 @@
+"""What every process of the system runs, whatever its role."""
+
+from plantainyoke.node._clock import PauseDetector
+from plantainyoke.node._control import ControlServer
+from plantainyoke.node._datagrams import DatagramSocket
+from plantainyoke.node._follower import ConfigurationFollower
+from plantainyoke.node._links import Link, LinkClosedError, LinkPool
+from plantainyoke.node._node import Node, build_node
+
+__all__ = [
+    "ConfigurationFollower",
+    "ControlServer",
+    "DatagramSocket",
+    "Link",
+    "LinkClosedError",
+    "LinkPool",
+    "Node",
+    "PauseDetector",
+    "build_node",
+]
--- /dev/null
+++ b/plantainyoke/node/_clock.py
@@ -0,0 +1,40 @@
+"""Detects that this process was paused."""
+
+import asyncio
+from collections.abc import Callable
+
+TICK_S = 0.25
+PAUSE_S = 1.5
+
+
+class PauseDetector:
+    """Calls listeners after a gap in the monotonic clock.
+
+    Attributes
+    ----------
+    resumed_at : float
+        Loop time at which the last pause ended.
+    """
+
+    def __init__(self) -> None:
+        self.listeners: list[Callable[[float], None]] = []
+        self.resumed_at = float("-inf")
+        self.last_tick = float("-inf")
+
+    def check(self, now: float) -> bool:
+        """Compare the time with the last tick and report a pause."""
+        gap = now - self.last_tick
+        paused = self.last_tick != float("-inf") and gap > PAUSE_S
+        self.last_tick = now
+        if paused:
+            self.resumed_at = now
+            for listener in self.listeners:
+                listener(gap)
+        return paused
+
+    async def run(self) -> None:
+        """Check at a fixed interval until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self.check(loop.time())
+            await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/plantainyoke/node/_follower.py
@@ -0,0 +1,318 @@
+"""Keeps the configuration of a process up to date."""
+
+import asyncio
+import random
+import zlib
+
+from returns.result import Failure
+
+from plantainyoke.configuration import Offer, digest_of
+from plantainyoke.membership import DistributionRole, plan_distribution
+from plantainyoke.node._links import LinkClosedError, describe_peer
+from plantainyoke.node._node import Node
+from plantainyoke.platform import PlatformStaleError, parse_hosts
+from plantainyoke.telemetry import log_event
+from plantainyoke.wire import Probe, pack_address, parse_address
+
+POLL_INTERVAL_S = 0.5
+PARENT_TIMEOUT_S = 2.0
+PULL_TIMEOUT_S = 3.0
+PULL_JITTER_S = 0.2
+BOOTSTRAP_RETRY_S = 0.5
+HOSTS_INTERVAL_S = 5.0
+WATCH_RETRY_S = 0.5
+READS_PER_ZONE_PER_S = 20.0  # share of one zone of the platform's read budget
+MINIMUM_SELF_READ_S = 3.0
+MAX_DOCUMENT_SIZE = 1_000_000
+PLATFORM_SOURCE = "platform"
+
+
+class ConfigurationFollower:
+    """Reads the platform or asks peers, and applies what is newer.
+
+    Parameters
+    ----------
+    node : Node
+    rng : random.Random
+        Spreads reads and pulls over time.
+
+    Attributes
+    ----------
+    source : str
+        Where the configuration in force came from.
+    """
+
+    def __init__(self, node: Node, rng: random.Random) -> None:
+        self.node = node
+        self.rng = rng
+        self.source = ""
+        self.role = DistributionRole(True, ())
+        self.heard_at: dict[int, float] = {}
+        self.behind = asyncio.Event()
+        self.ahead: tuple[int, int] = (0, 0)
+        self.parent_index = 0
+        self.self_read_at = 0.0
+        self.pulling = asyncio.Lock()
+        self.watching: asyncio.Task | None = None
+        self.seeds = [pack_address(parse_address(seed)) for seed in node.settings.seeds]
+        node.generation_listeners.append(self.note_generation)
+        node.links.serve_pull = self.serve_pull
+
+    @property
+    def is_balancer(self) -> bool:
+        """Whether this process is a balancer."""
+        return self.node.settings.role == "balancer"
+
+    def note_generation(self, generation: int, peer: int) -> None:
+        """Record the generation that a peer's message carried."""
+        self.heard_at[peer] = asyncio.get_running_loop().time()
+        if generation > self.node.generation and generation > self.ahead[0]:
+            self.ahead = (generation, peer)
+            self.behind.set()
+
+    async def bootstrap(self) -> None:
+        """Ask the platform and peers, and apply the highest answer.
+
+        Returns once a configuration is in force.
+        """
+        await self.refresh_hosts()
+        while self.node.generation == 0:
+            peers = [*self.seeds, *self.role.parents]
+            await asyncio.gather(
+                self.read_platform(), *(self.pull(peer) for peer in peers)
+            )
+            if self.node.generation == 0:
+                self.node.metrics.count("configuration.bootstrap_retry")
+                await asyncio.sleep(BOOTSTRAP_RETRY_S * (1 + self.rng.random()))
+                await self.refresh_hosts()
+
+    def start(self) -> None:
+        """Start following."""
+        self.node.start(self._pull_when_behind(), name="pull")
+        self.node.start(self._poll_parents(), name="poll")
+        self.node.start(self._refresh_hosts_loop(), name="hosts")
+        self._update_watch()
+
+    async def refresh_hosts(self) -> None:
+        """Read the host list from the platform."""
+        result = await self.node.platform.read_hosts(self.node.settings.zone)
+        hosts = result.bind(parse_hosts)
+        if isinstance(hosts, Failure):
+            self.node.metrics.count("platform.hosts_failed")
+            return
+        self.node.hosts = hosts.unwrap()
+        self._plan()
+
+    async def read_platform(self) -> None:
+        """Read the index once and apply it if it is newer."""
+        result = await self.node.platform.read_index()
+        if isinstance(result, Failure):
+            self.node.metrics.count("platform.read_failed")
+            return
+        await self.accept_index(result.unwrap(), None)
+
+    async def pull(self, peer: int) -> None:
+        """Ask a peer for its index and the chunks that are missing."""
+        try:
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                document = await self._pull_document(peer, "")
+                if document:
+                    await self.accept_index(document, peer)
+        except (LinkClosedError, TimeoutError, zlib.error):
+            self.node.metrics.count("configuration.pull_failed")
+
+    async def accept_index(self, document: bytes, peer: int | None) -> bool:
+        """Fetch what a newer index needs and apply the generation.
+
+        Parameters
+        ----------
+        document : bytes
+        peer : int or None
+            Where the index came from; None for the platform.
+        """
+        store = self.node.store
+        async with self.pulling:
+            evaluated = store.evaluate(document)
+            if isinstance(evaluated, Failure):
+                self.node.metrics.count("configuration.bad_index")
+                log_event("configuration_refused", error=str(evaluated.failure()))
+                return False
+            offer = evaluated.unwrap()
+            if offer is None:
+                return False
+            return await self._apply(offer, peer)
+
+    async def serve_pull(self, link, frame: dict) -> None:
+        """Answer a peer's request for a document."""
+        request = frame["pull"]
+        store = self.node.store
+        body = store.index_document
+        if request["chunk"]:
+            body = store.documents.get(request["chunk"], b"")
+        answer = link.new_frame()
+        document = answer.init("document")
+        document.id = request["id"]
+        document.kind = "whole" if body else "missing"
+        document.body = zlib.compress(body)
+        self.node.metrics.count("bytes.configuration", len(document.body))
+        link.send(answer)
+
+    async def _apply(self, offer: Offer, peer: int | None) -> bool:
+        documents = {}
+        for digest in offer.missing:
+            body = await self._fetch_chunk(digest, peer)
+            if body is None:
+                self.node.metrics.count("configuration.chunk_missing")
+                return False
+            documents[digest] = body
+        applied = self.node.store.apply(offer, documents)
+        if isinstance(applied, Failure):
+            self.node.metrics.count("configuration.bad_chunk")
+            log_event("configuration_refused", error=str(applied.failure()))
+            return False
+        self.source = PLATFORM_SOURCE if peer is None else describe_peer(peer)
+        self.node.metrics.count("configuration.applied")
+        log_event(
+            "configuration_applied",
+            generation=offer.index.generation,
+            source=self.source,
+        )
+        return True
+
+    async def _fetch_chunk(self, digest: str, peer: int | None) -> bytes | None:
+        """Return a chunk whose digest matches, from the peer or the platform."""
+        if peer is not None:
+            try:
+                body = await self._pull_document(peer, digest)
+            except (LinkClosedError, zlib.error):
+                body = b""
+            if body and digest_of(body) == digest:
+                return body
+        result = await self.node.platform.read_chunk(digest)
+        if isinstance(result, Failure):
+            stale = isinstance(result.failure(), PlatformStaleError)
+            name = "platform.stale" if stale else "platform.read_failed"
+            self.node.metrics.count(name)
+            return None
+        body = result.unwrap()
+        if digest_of(body) != digest:
+            self.node.metrics.count("configuration.bad_chunk")
+            return None
+        return body
+
+    async def _pull_document(self, peer: int, chunk: str) -> bytes:
+        link = await self.node.links.connect(peer)
+        number, queue = link.open_request()
+        try:
+            frame = link.new_frame()
+            pull = frame.init("pull")
+            pull.id = number
+            pull.chunk = chunk
+            pull.have = self.node.snapshot.digest
+            link.send(frame)
+            answer = await queue.get()
+            if answer is None:
+                raise LinkClosedError
+            return _decompress(answer["document"]["body"])
+        finally:
+            link.close_request(number)
+
+    def _plan(self) -> None:
+        self.role = plan_distribution(
+            self.node.hosts,
+            address=self.node.address,
+            zone=self.node.zone,
+            is_balancer=self.is_balancer,
+        )
+        self.parent_index = 0
+        if self.watching is not None or self.node.generation:
+            self._update_watch()
+
+    def _update_watch(self) -> None:
+        if self.role.is_reader and self.watching is None:
+            self.watching = self.node.start(self._watch_platform(), name="watch")
+        elif not self.role.is_reader and self.watching is not None:
+            self.watching.cancel()
+            self.watching = None
+
+    async def _watch_platform(self) -> None:
+        while True:
+            result = await self.node.platform.watch_index(self.node.snapshot.digest)
+            if isinstance(result, Failure):
+                self.node.metrics.count("platform.watch_failed")
+                await asyncio.sleep(WATCH_RETRY_S * (1 + self.rng.random()))
+                continue
+            applied = await self.accept_index(result.unwrap(), None)
+            if not applied and digest_of(result.unwrap()) != self.node.snapshot.digest:
+                # A stale replica answers at once; do not spin on it.
+                self.node.metrics.count("platform.stale")
+                await asyncio.sleep(WATCH_RETRY_S * (1 + self.rng.random()))
+
+    async def _pull_when_behind(self) -> None:
+        while True:
+            await self.behind.wait()
+            self.behind.clear()
+            generation, peer = self.ahead
+            await asyncio.sleep(self.rng.random() * PULL_JITTER_S)
+            if generation > self.node.generation:
+                await self.pull(peer)
+            self.ahead = (0, 0)
+
+    async def _poll_parents(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S * (0.75 + self.rng.random() / 2))
+            parents = self.role.parents
+            if parents:
+                self._probe_parent(parents, loop.time())
+            self._probe_random_balancer()
+            if not self.role.is_reader:
+                await self._read_when_alone(loop.time())
+
+    def _probe_parent(self, parents: tuple[int, ...], now: float) -> None:
+        parent = parents[self.parent_index % len(parents)]
+        self._send_probe(parent)
+        heard = self.heard_at.setdefault(parent, now)
+        if now - heard > PARENT_TIMEOUT_S:
+            self.node.metrics.count("configuration.parent_silent")
+            del self.heard_at[parent]
+            self.parent_index += 1
+
+    def _probe_random_balancer(self) -> None:
+        if not self.is_balancer:
+            return
+        others = self.node.hosts.balancers()
+        if others:
+            chosen = self.rng.choice(others).address
+            if chosen != self.node.address:
+                self._send_probe(chosen)
+
+    async def _read_when_alone(self, now: float) -> None:
+        recent = [self.heard_at.get(parent, 0.0) for parent in self.role.parents]
+        if recent and now - max(recent) < PARENT_TIMEOUT_S * len(recent):
+            return
+        if now < self.self_read_at:
+            return
+        members = len(self.node.hosts.in_zone(self.node.zone))
+        interval = max(MINIMUM_SELF_READ_S, members / READS_PER_ZONE_PER_S)
+        self.self_read_at = now + interval * (0.5 + self.rng.random())
+        self.node.metrics.count("configuration.self_read")
+        await self.read_platform()
+
+    def _send_probe(self, peer: int) -> None:
+        probe = Probe(self.rng.getrandbits(63), self.is_balancer)
+        envelope = self.node.codec.encode_probe(self.node.generation, probe)
+        self.node.send(envelope, peer, "configuration_probe")
+
+    async def _refresh_hosts_loop(self) -> None:
+        while True:
+            await asyncio.sleep(HOSTS_INTERVAL_S * (0.75 + self.rng.random() / 2))
+            await self.refresh_hosts()
+
+
+def _decompress(body: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    document = decompressor.decompress(body, MAX_DOCUMENT_SIZE)
+    if decompressor.unconsumed_tail:
+        raise zlib.error("document too large")
+    return document
--- /dev/null
+++ b/plantainyoke/node/_links.py
@@ -0,0 +1,260 @@
+"""TCP links between processes, with one task for each peer."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Awaitable, Callable
+
+from plantainyoke.telemetry import Metrics, log_event
+from plantainyoke.wire import (
+    FrameReader,
+    FrameWriter,
+    MessageAuthenticator,
+    WireError,
+    format_address,
+    handshake_link,
+    unpack_address,
+)
+from plantainyoke.wire._schema import schema
+
+CONNECT_TIMEOUT_S = 1.0
+LINK_FAILURES = (OSError, TimeoutError, asyncio.IncompleteReadError, WireError)
+
+ServeFrame = Callable[["Link", dict], Awaitable[None]]
+
+
+class LinkClosedError(Exception):
+    """The link closed before the answer was complete."""
+
+
+class Link:
+    """One end of a TCP link.
+
+    Answers are routed by request number to the queue of the requester; every
+    other frame is served in a task of its own.
+
+    Parameters
+    ----------
+    reader, writer : FrameReader, FrameWriter
+    serve : callable
+        Coroutine function called with the link and each request frame.
+    generation : callable
+        Returns the generation to stamp on frames.
+    """
+
+    def __init__(
+        self,
+        reader: FrameReader,
+        writer: FrameWriter,
+        serve: ServeFrame,
+        generation: Callable[[], int],
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.serve = serve
+        self.generation = generation
+        self.numbers = itertools.count(1)
+        self.answers: dict[int, asyncio.Queue] = {}
+        self.serving: dict[int, asyncio.Task] = {}
+        self.is_closed = False
+
+    def new_frame(self):
+        """Return an empty frame stamped with the generation."""
+        return schema.Frame.new_message(generation=self.generation())
+
+    def send(self, frame) -> None:
+        """Queue a frame.
+
+        Raises
+        ------
+        LinkClosedError
+        """
+        if self.is_closed:
+            raise LinkClosedError
+        self.writer.write(frame)
+
+    def open_request(self) -> tuple[int, asyncio.Queue]:
+        """Return a request number and the queue of its answers."""
+        number = next(self.numbers)
+        queue: asyncio.Queue = asyncio.Queue()
+        self.answers[number] = queue
+        return number, queue
+
+    def close_request(self, number: int) -> None:
+        """Forget a request; late answers to it are dropped."""
+        self.answers.pop(number, None)
+
+    async def run(self) -> None:
+        """Read frames until the link closes."""
+        try:
+            while True:
+                self._dispatch(await self.reader.read())
+        except LINK_FAILURES:
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close the link and fail every open request."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self.writer.close()
+        for queue in self.answers.values():
+            queue.put_nowait(None)
+        for task in list(self.serving.values()):
+            task.cancel()
+
+    def _dispatch(self, frame: dict) -> None:
+        for kind in ("responseHead", "responseData", "failure", "document"):
+            if kind in frame:
+                queue = self.answers.get(_answer_number(frame, kind))
+                if queue is not None:
+                    queue.put_nowait(frame)
+                return
+        if "cancel" in frame:
+            task = self.serving.get(frame["cancel"])
+            if task is not None:
+                task.cancel()
+            return
+        self._serve(frame)
+
+    def _serve(self, frame: dict) -> None:
+        number = frame["request"]["id"] if "request" in frame else id(frame)
+        task = asyncio.get_running_loop().create_task(self.serve(self, frame))
+        self.serving[number] = task
+        task.add_done_callback(lambda _: self.serving.pop(number, None))
+
+
+def _answer_number(frame: dict, kind: str) -> int:
+    return frame[kind]["id"]
+
+
+class LinkPool:
+    """Accepts links from peers and keeps one link to each peer asked.
+
+    Parameters
+    ----------
+    authenticator : MessageAuthenticator
+    generation : callable
+        Returns the generation to stamp on frames.
+    allows : callable
+        Tells whether packets may be sent to a packed address.
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        authenticator: MessageAuthenticator,
+        generation: Callable[[], int],
+        allows: Callable[[int], bool],
+        metrics: Metrics,
+    ) -> None:
+        self.authenticator = authenticator
+        self.generation = generation
+        self.allows = allows
+        self.metrics = metrics
+        self.links: dict[int, Link] = {}
+        self.connecting: dict[int, asyncio.Task] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.accepted: set[Link] = set()
+        self.serve_pull: ServeFrame | None = None
+        self.serve_request: ServeFrame | None = None
+        self.server: asyncio.Server | None = None
+
+    async def listen(self, address: tuple[str, int]) -> None:
+        """Accept links on a TCP address."""
+        self.server = await asyncio.start_server(self._accept, *address)
+
+    async def connect(self, peer: int) -> Link:
+        """Return the link to a peer, connecting if needed.
+
+        Raises
+        ------
+        LinkClosedError
+            If the peer cannot be reached or is in a zone out of service.
+        """
+        link = self.links.get(peer)
+        if link is not None and not link.is_closed:
+            return link
+        if not self.allows(peer):
+            self.metrics.count("link.zone_out")
+            raise LinkClosedError
+        task = self.connecting.get(peer)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._connect(peer))
+            self.connecting[peer] = task
+            task.add_done_callback(lambda _: self.connecting.pop(peer, None))
+        return await asyncio.shield(task)
+
+    def close_disallowed(self) -> None:
+        """Close the links to peers that packets may no longer be sent to."""
+        for peer, link in list(self.links.items()):
+            if not self.allows(peer):
+                link.close()
+                del self.links[peer]
+
+    async def aclose(self) -> None:
+        """Stop accepting and close every link."""
+        if self.server is not None:
+            self.server.close()
+        for link in [*self.links.values(), *self.accepted]:
+            link.close()
+        for task in [*self.tasks, *self.connecting.values()]:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _connect(self, peer: int) -> Link:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(*unpack_address(peer))
+                frames = await handshake_link(
+                    reader, writer, self.authenticator, initiator=True
+                )
+        except LINK_FAILURES as error:
+            self.metrics.count("link.connect_failed")
+            raise LinkClosedError from error
+        link = Link(*frames, self._serve, self.generation)
+        self.links[peer] = link
+        self._start(link.run())
+        return link
+
+    async def _accept(self, reader, writer) -> None:
+        try:
+            frames = await handshake_link(
+                reader, writer, self.authenticator, initiator=False
+            )
+        except LINK_FAILURES:
+            self.metrics.count("link.accept_failed")
+            writer.close()
+            return
+        link = Link(*frames, self._serve, self.generation)
+        self.accepted.add(link)
+        try:
+            await link.run()
+        except asyncio.CancelledError:
+            link.close()
+        finally:
+            self.accepted.discard(link)
+
+    async def _serve(self, link: Link, frame: dict) -> None:
+        handler = self.serve_pull if "pull" in frame else self.serve_request
+        if handler is None or not ("pull" in frame or "request" in frame):
+            self.metrics.count("link.unexpected_frame")
+            return
+        try:
+            with contextlib.suppress(LinkClosedError):
+                await handler(link, frame)
+        except Exception as error:  # a fault in one request must not end the link
+            self.metrics.count("link.serve_failed")
+            log_event("link_serve_failed", error=repr(error))
+
+    def _start(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def describe_peer(peer: int) -> str:
+    """Return ``host:port`` of a packed address for logs."""
+    return format_address(unpack_address(peer))
--- /dev/null
+++ b/plantainyoke/node/_node.py
@@ -0,0 +1,203 @@
+"""The parts that every process shares, wired together."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+from plantainyoke.configuration import ConfigurationStore, Settings, Snapshot
+from plantainyoke.node._clock import PauseDetector
+from plantainyoke.node._datagrams import DatagramSocket
+from plantainyoke.node._links import LinkPool
+from plantainyoke.platform import HostList, PlatformClient
+from plantainyoke.routing import zone_identifier
+from plantainyoke.telemetry import Metrics, log_event
+from plantainyoke.wire import (
+    Address,
+    AuthenticationError,
+    EnvelopeCodec,
+    MessageAuthenticator,
+    WireError,
+    pack_address,
+    parse_address,
+    unpack_address,
+)
+
+FLUSH_INTERVAL_S = 1.0
+
+ReceiveMessage = Callable[[object, int], None]
+
+
+@dataclass
+class Node:
+    """One process of the system, without its role.
+
+    Attributes
+    ----------
+    settings : Settings
+    address : int
+        Packed address of this process.
+    zone : int
+    hosts : HostList
+        The latest host list; replaced as a whole.
+    handlers : dict of type to callable
+        Called with ``(message, source)`` for each envelope of a type.
+    generation_listeners : list of callable
+        Called with ``(generation, source)`` for each authentic envelope.
+    """
+
+    settings: Settings
+    address: int
+    zone: int
+    metrics: Metrics
+    store: ConfigurationStore
+    codec: EnvelopeCodec
+    links: LinkPool
+    platform: PlatformClient
+    pauses: PauseDetector
+    stack: AsyncExitStack
+    hosts: HostList = field(default_factory=HostList)
+    handlers: dict[type, ReceiveMessage] = field(default_factory=dict)
+    generation_listeners: list[Callable[[int, int], None]] = field(default_factory=list)
+    socket: DatagramSocket | None = None
+    tasks: set[asyncio.Task] = field(default_factory=set)
+    follower: object | None = None
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The configuration in force."""
+        return self.store.snapshot
+
+    @property
+    def generation(self) -> int:
+        """Generation of the configuration in force."""
+        return self.store.snapshot.generation
+
+    def zone_of(self, peer: int) -> int | None:
+        """Return the zone of a process, None if unknown."""
+        zone = self.snapshot.zone_of_agent.get(peer)
+        return self.hosts.zone_of.get(peer) if zone is None else zone
+
+    def allows(self, peer: int) -> bool:
+        """Tell whether packets may be sent to a process.
+
+        Nothing is sent into a zone out of service: no data, probe, gossip or
+        relay.
+        """
+        zones_out = self.snapshot.zones_out
+        return not zones_out or self.zone_of(peer) not in zones_out
+
+    def send(self, datagram: bytes, peer: int, kind: str) -> bool:
+        """Send an envelope to a process and count its bytes by kind."""
+        if not self.allows(peer):
+            self.metrics.count("drop.zone_out")
+            return False
+        self.metrics.count(f"bytes.{kind}", len(datagram))
+        return self.socket.send(datagram, unpack_address(peer))
+
+    def start(self, coroutine, *, name: str) -> asyncio.Task:
+        """Run a task until the node closes; its failure is logged."""
+        task = asyncio.get_running_loop().create_task(coroutine, name=name)
+        self.tasks.add(task)
+        task.add_done_callback(self._finish_task)
+        return task
+
+    def receive(self, datagram: bytes, source: Address) -> None:
+        """Check one envelope and give it to its handler."""
+        try:
+            generation, message = self.codec.decode(datagram)
+        except AuthenticationError:
+            self.metrics.count("drop.envelope_forged")
+            return
+        except WireError:
+            self.metrics.count("drop.envelope_malformed")
+            return
+        peer = pack_address(source)
+        for listener in self.generation_listeners:
+            listener(generation, peer)
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            self.metrics.count("drop.envelope_unexpected")
+            return
+        handler(message, peer)
+
+    def describe(self) -> dict:
+        """Return what ``plantainyokectl status`` shows for every role."""
+        snapshot = self.snapshot
+        return {
+            "name": self.settings.name,
+            "role": self.settings.role,
+            "zone": self.settings.zone,
+            "generation": snapshot.generation,
+            "generation_source": getattr(self.follower, "source", ""),
+            "zones_out": sorted(snapshot.zones[zone] for zone in snapshot.zones_out),
+            "platform_calls": self.platform.calls,
+            "counters": dict(sorted(self.metrics.counters.items())),
+        }
+
+    def _finish_task(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        self.metrics.count("task.failed")
+        log_event("task_failed", task=task.get_name(), error=repr(task.exception()))
+
+    async def _cancel_tasks(self) -> None:
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _flush_metrics(self) -> None:
+        while True:
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+            self.metrics.gauge("generation", self.generation)
+            self.metrics.flush()
+
+
+async def build_node(
+    settings: Settings, stack: AsyncExitStack, *, service_id: int | None = None
+) -> Node:
+    """Open the sockets of a process and start its shared tasks.
+
+    Parameters
+    ----------
+    settings : Settings
+    stack : AsyncExitStack
+        Owns all that must be closed.
+    service_id : int, default=None
+        The one service that this process applies; None for all.
+    """
+    address = parse_address(settings.listen)
+    statsd = parse_address(settings.statsd) if settings.statsd else None
+    metrics = Metrics(statsd)
+    stack.callback(metrics.close)
+    store = ConfigurationStore(service_id)
+    authenticator = MessageAuthenticator(settings.keys.peer_keys)
+    platform = await stack.enter_async_context(PlatformClient(settings.platform))
+    node = Node(
+        settings=settings,
+        address=pack_address(address),
+        zone=zone_identifier(settings.zone),
+        metrics=metrics,
+        store=store,
+        codec=EnvelopeCodec(authenticator),
+        links=LinkPool(
+            authenticator,
+            lambda: node.generation,
+            lambda peer: node.allows(peer),
+            metrics,
+        ),
+        platform=platform,
+        pauses=PauseDetector(),
+        stack=stack,
+    )
+    store.listeners.append(lambda snapshot: node.links.close_disallowed())
+    node.socket = DatagramSocket(address, node.receive, metrics)
+    stack.callback(node.socket.close)
+    await node.links.listen(address)
+    stack.push_async_callback(node.links.aclose)
+    stack.push_async_callback(node._cancel_tasks)
+    node.start(node.pauses.run(), name="pauses")
+    node.start(node._flush_metrics(), name="metrics")
+    return node
--- /dev/null
+++ b/plantainyoke/platform/_client.py
@@ -0,0 +1,80 @@
+"""HTTP client of the platform's configuration service and host list."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+READ_TIMEOUT_S = 3.0
+WATCH_TIMEOUT_S = 20.0
+MAX_BODY_SIZE = 1_000_000
+
+
+class PlatformError(Exception):
+    """The platform could not be read."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform does not answer or answers with an error."""
+
+
+class PlatformStaleError(PlatformError):
+    """The platform does not hold a document that its index names."""
+
+
+class PlatformClient:
+    """Reads and watches published documents.
+
+    Parameters
+    ----------
+    base_url : str
+    """
+
+    def __init__(self, base_url: str) -> None:
+        self.base_url = base_url
+        self.calls = 0
+        self.stack = AsyncExitStack()
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "PlatformClient":
+        self.session = await self.stack.enter_async_context(aiohttp.ClientSession())
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self.stack.aclose()
+
+    async def read_index(self) -> Result[bytes, PlatformError]:
+        """Return the published index document."""
+        return await self._get("/configuration/index", READ_TIMEOUT_S)
+
+    async def watch_index(self, digest: str) -> Result[bytes, PlatformError]:
+        """Wait until the index differs from ``digest`` or the watch ends."""
+        path = f"/configuration/index?not={digest}&wait={WATCH_TIMEOUT_S:.0f}"
+        return await self._get(path, WATCH_TIMEOUT_S + READ_TIMEOUT_S)
+
+    async def read_chunk(self, digest: str) -> Result[bytes, PlatformError]:
+        """Return one chunk document."""
+        return await self._get(f"/configuration/chunks/{digest}", READ_TIMEOUT_S)
+
+    async def read_hosts(self, zone: str) -> Result[bytes, PlatformError]:
+        """Return the list of hosts that processes of a zone need."""
+        return await self._get(f"/hosts?zone={zone}", READ_TIMEOUT_S)
+
+    async def _get(self, path: str, timeout_s: float) -> Result[bytes, PlatformError]:
+        self.calls += 1
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self.session.get(self.base_url + path) as response,
+            ):
+                if response.status == 404:
+                    return Failure(PlatformStaleError(path))
+                if response.status != 200:
+                    return Failure(PlatformUnavailableError(f"{response.status}"))
+                body = await response.content.read(MAX_BODY_SIZE + 1)
+                while not response.content.at_eof() and len(body) <= MAX_BODY_SIZE:
+                    body += await response.content.read(MAX_BODY_SIZE)
+                return Success(body)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(PlatformUnavailableError(type(error).__name__))
--- /dev/null
+++ b/plantainyoke/platform/_hosts.py
@@ -0,0 +1,90 @@
+"""The lagging list of live and leaving hosts."""
+
+from dataclasses import dataclass
+from functools import cached_property
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from plantainyoke.routing import zone_identifier
+from plantainyoke.wire import pack_address, parse_address
+
+
+class HostRecord(BaseModel):
+    """One process in the published list."""
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    address: str
+    zone: str
+    role: Literal["balancer", "agent"]
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HostEntry:
+    """One process of the system.
+
+    Attributes
+    ----------
+    address : int
+        Packed address of its envelopes and links.
+    zone : int
+    is_balancer, leaving : bool
+    """
+
+    address: int
+    zone: int
+    is_balancer: bool
+    leaving: bool
+
+
+@dataclass(frozen=True)
+class HostList:
+    """A snapshot of the published list."""
+
+    entries: tuple[HostEntry, ...] = ()
+
+    @cached_property
+    def zone_of(self) -> dict[int, int]:
+        """Zone identifier by packed address."""
+        return {entry.address: entry.zone for entry in self.entries}
+
+    def in_zone(self, zone: int) -> list[int]:
+        """Return the addresses of a zone's processes that are not leaving."""
+        return [
+            entry.address
+            for entry in self.entries
+            if entry.zone == zone and not entry.leaving
+        ]
+
+    def balancers(self) -> list[HostEntry]:
+        """Return the balancers that are not leaving."""
+        return [
+            entry for entry in self.entries if entry.is_balancer and not entry.leaving
+        ]
+
+
+_records = TypeAdapter(list[HostRecord])
+
+
+def parse_hosts(document: bytes) -> Result[HostList, ValueError]:
+    """Validate a published host list."""
+    try:
+        records = _records.validate_json(document)
+        return Success(
+            HostList(
+                tuple(
+                    HostEntry(
+                        pack_address(parse_address(record.address)),
+                        zone_identifier(record.zone),
+                        record.role == "balancer",
+                        record.leaving,
+                    )
+                    for record in records
+                )
+            )
+        )
+    except (ValidationError, ValueError) as error:
+        return Failure(ValueError(str(error).splitlines()[0]))
--- /dev/null
+++ b/plantainyoke/quic/_driver.py
@@ -0,0 +1,126 @@
+"""Runs one QUIC connection in one task."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import ConnectionTerminated, QuicEvent
+
+from plantainyoke.wire import Address
+
+MAX_INBOX = 512
+
+
+class ConnectionDriver:
+    """Feeds a connection with datagrams and timers and sends what it writes.
+
+    Parameters
+    ----------
+    quic : QuicConnection
+    send : callable
+        Called with ``(datagram, destination)``.
+    handle_event : callable
+        Called with each QuicEvent.
+    """
+
+    def __init__(
+        self,
+        quic: QuicConnection,
+        send: Callable[[bytes, Address], None],
+        handle_event: Callable[[QuicEvent], None],
+    ) -> None:
+        self.quic = quic
+        self.send = send
+        self.handle_event = handle_event
+        self.loop = asyncio.get_running_loop()
+        self.inbox: deque[tuple[bytes, Address]] = deque()
+        self.waiter: asyncio.Future | None = None
+        self.awake = False
+        self.is_terminated = False
+        self.received_at = self.loop.time()
+        self.drained: set[asyncio.Future] = set()
+
+    def feed(self, datagram: bytes, source: Address) -> bool:
+        """Queue a received datagram; returns False if the inbox is full."""
+        if len(self.inbox) >= MAX_INBOX:
+            return False
+        self.inbox.append((datagram, source))
+        self.wake()
+        return True
+
+    def wake(self) -> None:
+        """Let the task send what was written."""
+        self.awake = True
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    async def wait_progress(self) -> None:
+        """Wait until the connection has handled another round of input."""
+        future = self.loop.create_future()
+        self.drained.add(future)
+        try:
+            await future
+        finally:
+            self.drained.discard(future)
+
+    async def run(self) -> None:
+        """Drive the connection until it is terminated."""
+        try:
+            while not self.is_terminated:
+                self._receive()
+                self._process_events()
+                self._transmit()
+                self._notify_progress()
+                await self._wait()
+        finally:
+            self.is_terminated = True
+            self._notify_progress()
+
+    def flush(self) -> None:
+        """Send what is pending at once, for use when the task ends."""
+        self._transmit()
+
+    def _receive(self) -> None:
+        self.awake = False
+        now = self.loop.time()
+        if self.inbox:
+            self.received_at = now
+        while self.inbox:
+            datagram, source = self.inbox.popleft()
+            self.quic.receive_datagram(datagram, source, now=now)
+        timer = self.quic.get_timer()
+        if timer is not None and timer <= now:
+            self.quic.handle_timer(now=now)
+
+    def _process_events(self) -> None:
+        event = self.quic.next_event()
+        while event is not None:
+            if isinstance(event, ConnectionTerminated):
+                self.is_terminated = True
+            self.handle_event(event)
+            event = self.quic.next_event()
+
+    def _transmit(self) -> None:
+        now = self.loop.time()
+        for datagram, destination in self.quic.datagrams_to_send(now=now):
+            self.send(datagram, destination)
+
+    def _notify_progress(self) -> None:
+        for future in list(self.drained):
+            if not future.done():
+                future.set_result(None)
+
+    async def _wait(self) -> None:
+        if self.awake or self.is_terminated:
+            await asyncio.sleep(0)
+            return
+        self.waiter = self.loop.create_future()
+        timer = self.quic.get_timer()
+        handle = self.loop.call_at(timer, self.wake) if timer is not None else None
+        try:
+            await self.waiter
+        finally:
+            self.waiter = None
+            if handle is not None:
+                handle.cancel()
--- /dev/null
+++ b/plantainyoke/routing/__init__.py
@@ -0,0 +1,31 @@
+"""Stateless routing of datagrams to agents."""
+
+from plantainyoke.routing._connection_id import (
+    CONNECTION_ID_SIZE,
+    ConnectionIdCodec,
+    RoutingKey,
+    Target,
+)
+from plantainyoke.routing._identifiers import service_identifier, zone_identifier
+from plantainyoke.routing._packet import (
+    FirstPacket,
+    RoutedPacket,
+    UnroutablePacket,
+    parse_packet,
+)
+from plantainyoke.routing._table import CandidateTable, rank_by_rendezvous
+
+__all__ = [
+    "CONNECTION_ID_SIZE",
+    "CandidateTable",
+    "ConnectionIdCodec",
+    "FirstPacket",
+    "RoutedPacket",
+    "RoutingKey",
+    "Target",
+    "UnroutablePacket",
+    "parse_packet",
+    "rank_by_rendezvous",
+    "service_identifier",
+    "zone_identifier",
+]
--- /dev/null
+++ b/plantainyoke/routing/_connection_id.py
@@ -0,0 +1,98 @@
+"""Connection IDs that carry the encrypted address of an agent.
+
+References
+----------
+draft-ietf-quic-load-balancers: the first octet holds the key rotation bits
+and the length of the rest, followed by one encrypted block.
+"""
+
+import os
+import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
+
+BLOCK_SIZE = 16
+CONNECTION_ID_SIZE = 1 + BLOCK_SIZE
+ROTATION_SHIFT = 5
+MAX_ROTATION = 6  # 7 marks an unroutable connection ID
+ROUTING_KEY_SIZE = 16
+NONCE_SIZE = 4
+
+# Packed agent address (48 bits), zone, service, nonce.
+BLOCK = struct.Struct("!IHHI4s")
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingKey:
+    """An AES key with the rotation bits that select it."""
+
+    rotation: int
+    secret: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where a connection ID leads.
+
+    Attributes
+    ----------
+    agent : int
+        Packed address of the agent.
+    zone, service : int
+        Identifiers of the agent's availability zone and service.
+    """
+
+    agent: int
+    zone: int
+    service: int
+
+
+class ConnectionIdCodec:
+    """Issues and reads routed connection IDs.
+
+    Parameters
+    ----------
+    keys : sequence of RoutingKey
+        The first key issues; every key decodes.
+    """
+
+    def __init__(self, keys: Sequence[RoutingKey]) -> None:
+        self.rotation = keys[0].rotation
+        self.encryptor = _cipher(keys[0]).encryptor()
+        self.decryptors = {key.rotation: _cipher(key).decryptor() for key in keys}
+
+    def issue(self, target: Target) -> bytes:
+        """Return a new connection ID that leads to ``target``."""
+        block = BLOCK.pack(
+            target.agent >> 16,
+            target.agent & 0xFFFF,
+            target.zone,
+            target.service,
+            os.urandom(NONCE_SIZE),
+        )
+        first = self.rotation << ROTATION_SHIFT | BLOCK_SIZE
+        return bytes((first,)) + self.encryptor.update(block)
+
+    def decode(self, connection_id: bytes) -> Target | None:
+        """Return where a connection ID leads, None if no key can read it.
+
+        A forged ID decodes to a random target, which the caller must check.
+        """
+        if len(connection_id) != CONNECTION_ID_SIZE:
+            return None
+        first = connection_id[0]
+        if first & 0x1F != BLOCK_SIZE:
+            return None
+        decryptor = self.decryptors.get(first >> ROTATION_SHIFT)
+        if decryptor is None:
+            return None
+        ip, port, zone, service, _ = BLOCK.unpack(decryptor.update(connection_id[1:]))
+        return Target(ip << 16 | port, zone, service)
+
+
+def _cipher(key: RoutingKey) -> Cipher:
+    if not 0 <= key.rotation <= MAX_ROTATION or len(key.secret) != ROUTING_KEY_SIZE:
+        raise ValueError("routing keys need rotation 0 to 6 and 16 bytes")
+    return Cipher(algorithms.AES(key.secret), modes.ECB())
--- /dev/null
+++ b/plantainyoke/routing/_identifiers.py
@@ -0,0 +1,16 @@
+"""Numeric identifiers of services and availability zones."""
+
+import xxhash
+
+ZONE_BITS = 16
+ZONE_MASK = (1 << ZONE_BITS) - 1
+
+
+def service_identifier(name: str) -> int:
+    """Return the 32-bit identifier of a service name."""
+    return xxhash.xxh32_intdigest(name.encode())
+
+
+def zone_identifier(name: str) -> int:
+    """Return the 16-bit identifier of an availability zone name."""
+    return xxhash.xxh32_intdigest(name.encode()) & ZONE_MASK
--- /dev/null
+++ b/plantainyoke/routing/_table.py
@@ -0,0 +1,88 @@
+"""Choice of agents for new flows.
+
+References
+----------
+Eisenbud et al., "Maglev: A Fast and Reliable Software Network Load Balancer",
+NSDI 2016, section 3.4 (the table construction). Thaler and Ravishankar, "Using
+Name-Based Mappings to Increase Hit Rates", 1998 (rendezvous hashing).
+"""
+
+from array import array
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+SLOTS_PER_TARGET = 64
+TABLE_SIZES = (251, 509, 1021, 2039, 4093, 8191, 16381, 32749, 65521, 131071)
+EMPTY_SLOT = 0xFFFF
+MAX_CANDIDATES = 4
+MAX_SLOTS_SCANNED = 64
+
+
+def rank_by_rendezvous(key: bytes, members: Iterable[bytes]) -> list[bytes]:
+    """Order members by their rendezvous weight for a key, highest first."""
+    return sorted(
+        members,
+        key=lambda member: (xxhash.xxh64_intdigest(key + member), member),
+        reverse=True,
+    )
+
+
+class CandidateTable:
+    """Maps a hash to a short ordered list of distinct agents.
+
+    Parameters
+    ----------
+    agents : sequence of int
+        Packed addresses. Every process with the same set builds the same table.
+    """
+
+    def __init__(self, agents: Sequence[int]) -> None:
+        self.agents = sorted(agents)
+        self.slots = _fill_slots(self.agents)
+
+    def candidates(self, key: bytes) -> list[int]:
+        """Return up to ``MAX_CANDIDATES`` distinct agents for a key."""
+        if not self.agents:
+            return []
+        slots, agents = self.slots, self.agents
+        size = len(slots)
+        position = xxhash.xxh64_intdigest(key) % size
+        wanted = min(MAX_CANDIDATES, len(agents))
+        chosen = [agents[slots[position]]]
+        for step in range(1, MAX_SLOTS_SCANNED):
+            if len(chosen) == wanted:
+                break
+            agent = agents[slots[(position + step) % size]]
+            if agent not in chosen:
+                chosen.append(agent)
+        return chosen
+
+
+def _fill_slots(agents: Sequence[int]) -> array:
+    if not agents:
+        return array("H")
+    wanted = SLOTS_PER_TARGET * len(agents)
+    size = next((size for size in TABLE_SIZES if size >= wanted), TABLE_SIZES[-1])
+    slots = array("H", [EMPTY_SLOT]) * size
+    positions, steps = _permutations(agents, size)
+    filled = 0
+    while True:
+        for index in range(len(agents)):
+            position = positions[index]
+            while slots[position] != EMPTY_SLOT:
+                position = (position + steps[index]) % size
+            slots[position] = index
+            positions[index] = (position + steps[index]) % size
+            filled += 1
+            if filled == size:
+                return slots
+
+
+def _permutations(agents: Sequence[int], size: int) -> tuple[list[int], list[int]]:
+    positions, steps = [], []
+    for agent in agents:
+        digest = xxhash.xxh64_intdigest(agent.to_bytes(8, "big"))
+        positions.append((digest >> 32) % size)
+        steps.append((digest & 0xFFFFFFFF) % (size - 1) + 1)
+    return positions, steps
--- /dev/null
+++ b/plantainyoke/standins/__init__.py
@@ -0,0 +1,18 @@
+"""Small stand-ins for what surrounds the system, for tests and the demo."""
+
+from plantainyoke.standins._certificate import write_certificate
+from plantainyoke.standins._fabric import Fabric
+from plantainyoke.standins._fleet import EmbeddedFleet, FleetPlan, ServicePlan
+from plantainyoke.standins._platform import PlatformStandin
+from plantainyoke.standins._upstream import UpstreamOptions, UpstreamStandin
+
+__all__ = [
+    "EmbeddedFleet",
+    "Fabric",
+    "FleetPlan",
+    "PlatformStandin",
+    "ServicePlan",
+    "UpstreamOptions",
+    "UpstreamStandin",
+    "write_certificate",
+]
--- /dev/null
+++ b/plantainyoke/standins/_fabric.py
@@ -0,0 +1,93 @@
+"""A fabric that hands each packet to any balancer."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from plantainyoke.node import DatagramSocket
+from plantainyoke.telemetry import Metrics
+from plantainyoke.wire import Address
+
+
+@dataclass
+class Fabric:
+    """Relays one service address to balancers, chosen at random per packet.
+
+    Attributes
+    ----------
+    address : Address
+        Service address on which callers are served.
+    offsets : list of int
+        Port offsets of the balancers in rotation.
+    loss, duplication : float
+        Shares of packets lost or sent twice, in both directions.
+    delay_s, jitter_s : float
+        One-way delay and its uniform variation; jitter reorders packets.
+    silenced : set of Address
+        Callers whose packets are lost in both directions.
+    """
+
+    address: Address
+    offsets: list[int]
+    rng: random.Random
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_s: float = 0.0
+    jitter_s: float = 0.0
+    silenced: set[Address] = field(default_factory=set)
+    sockets: dict[Address, DatagramSocket] = field(default_factory=dict)
+    counts: dict[int, int] = field(default_factory=dict)
+
+    def open(self) -> None:
+        """Start relaying."""
+        self.metrics = Metrics()
+        self.loop = asyncio.get_running_loop()
+        self.socket = DatagramSocket(self.address, self._from_caller, self.metrics)
+
+    def close(self) -> None:
+        """Stop relaying."""
+        self.socket.close()
+        for caller_socket in self.sockets.values():
+            caller_socket.close()
+
+    def _from_caller(self, datagram: bytes, caller: Address) -> None:
+        if caller in self.silenced or not self.offsets:
+            return
+        caller_socket = self.sockets.get(caller)
+        if caller_socket is None:
+            caller_socket = self._open_socket(caller)
+        for _ in range(self._copies()):
+            offset = self.rng.choice(self.offsets)
+            self.counts[offset] = self.counts.get(offset, 0) + 1
+            destination = (self.address[0], self.address[1] + offset)
+            self._send(caller_socket, datagram, destination)
+
+    def _from_balancer(self, datagram: bytes, caller: Address) -> None:
+        if caller in self.silenced:
+            return
+        for _ in range(self._copies()):
+            self._send(self.socket, datagram, caller)
+
+    def _open_socket(self, caller: Address) -> DatagramSocket:
+        def receive(datagram: bytes, source: Address) -> None:
+            self._from_balancer(datagram, caller)
+
+        caller_socket = DatagramSocket(("127.0.0.1", 0), receive, self.metrics)
+        self.sockets[caller] = caller_socket
+        return caller_socket
+
+    def _copies(self) -> int:
+        if self.loss and self.rng.random() < self.loss:
+            return 0
+        return 2 if self.duplication and self.rng.random() < self.duplication else 1
+
+    def _send(self, sender: DatagramSocket, datagram: bytes, to: Address) -> None:
+        delay_s = self.delay_s + self.rng.random() * self.jitter_s
+        if delay_s > 0:
+            self.loop.call_later(delay_s, self._send_now, sender, datagram, to)
+        else:
+            sender.send(datagram, to)
+
+    def _send_now(self, sender: DatagramSocket, datagram: bytes, to: Address) -> None:
+        if sender.socket.fileno() >= 0:
+            sender.send(datagram, to)
--- /dev/null
+++ b/plantainyoke/standins/_fleet.py
@@ -0,0 +1,360 @@
+"""A whole fleet in one process, on loopback addresses."""
+
+import asyncio
+import random
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from plantainyoke.agent import Agent, run_agent
+from plantainyoke.balancer import Balancer, run_balancer
+from plantainyoke.caller import Session, SessionOptions
+from plantainyoke.configuration import (
+    AgentSettings,
+    BalancerSettings,
+    BuiltConfiguration,
+    FleetFile,
+    KeySettings,
+    ServiceFile,
+    Settings,
+    build_configuration,
+    parse_index,
+)
+from plantainyoke.standins._certificate import write_certificate
+from plantainyoke.standins._fabric import Fabric
+from plantainyoke.standins._platform import PlatformStandin
+from plantainyoke.standins._upstream import (
+    SHED_STATUS,
+    UpstreamOptions,
+    UpstreamStandin,
+)
+from plantainyoke.wire import Address, format_address, parse_address
+
+SERVER_NAME = "service.test"
+PEER_KEY = "00112233445566778899aabbccddeeff"
+ROUTING_KEY = {"rotation": 0, "secret": "0f1e2d3c4b5a69788796a5b4c3d2e1f0"}
+OFFSET_STEP = 100
+
+
+@dataclass(frozen=True)
+class ServicePlan:
+    """One service of a fleet.
+
+    Attributes
+    ----------
+    name : str
+    targets : int
+        Number of targets, spread over the zones in turn.
+    upstream : UpstreamOptions
+    """
+
+    name: str
+    targets: int
+    upstream: UpstreamOptions = field(default_factory=UpstreamOptions)
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """What a fleet consists of.
+
+    Attributes
+    ----------
+    network : str
+        First two octets of its loopback addresses, such as ``127.40``.
+    """
+
+    network: str
+    zones: tuple[str, ...] = ("plateau", "rufisque", "pikine")
+    balancers: int = 2
+    services: tuple[ServicePlan, ...] = (
+        ServicePlan("orders", 3),
+        ServicePlan("drawings", 3),
+    )
+    can_relay: bool = True
+
+
+@dataclass
+class Member:
+    """One process of the fleet and the stack that ends it."""
+
+    settings: Settings
+    stack: AsyncExitStack
+    role: Balancer | Agent | None = None
+
+
+class EmbeddedFleet:
+    """Runs balancers, agents, upstreams, fabric and platform in one process.
+
+    Parameters
+    ----------
+    plan : FleetPlan
+    directory : Path
+        Where the certificate is written.
+    seed : int, default=0
+    """
+
+    def __init__(self, plan: FleetPlan, directory: Path, *, seed: int = 0) -> None:
+        self.plan = plan
+        self.directory = directory
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.stack = AsyncExitStack()
+        self.platform = PlatformStandin()
+        self.members: dict[str, Member] = {}
+        self.upstreams: dict[str, UpstreamStandin] = {}
+        self.upstream_stacks: dict[str, AsyncExitStack] = {}
+        self.fabrics: dict[str, Fabric] = {}
+        self.generation = 0
+        self.zone_states = dict.fromkeys(plan.zones, "in")
+        self.removed: set[str] = set()
+        self.keys = KeySettings.model_validate(
+            {"peer": [PEER_KEY], "routing": [ROUTING_KEY]}
+        )
+
+    async def __aenter__(self) -> "EmbeddedFleet":
+        self.certificate, self.private_key = write_certificate(
+            self.directory, SERVER_NAME
+        )
+        await self.platform.start(self.platform_address, self.stack)
+        for service in self.plan.services:
+            for index in range(service.targets):
+                await self.start_upstream(service, index)
+        self.publish()
+        self.publish_hosts()
+        starts = [self.start_balancer(i) for i in range(self.plan.balancers)]
+        for service in self.plan.services:
+            starts += [self.start_agent(service, i) for i in range(service.targets)]
+        await asyncio.gather(*starts)
+        for number, service in enumerate(self.plan.services):
+            self._open_fabric(service, number)
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        members = list(self.members.values())
+        await asyncio.gather(*(member.stack.aclose() for member in members))
+        for stack in self.upstream_stacks.values():
+            await stack.aclose()
+        await self.stack.aclose()
+
+    @property
+    def platform_address(self) -> Address:
+        """Address of the platform stand-in."""
+        return f"{self.plan.network}.0.1", 8500
+
+    def service_address(self, name: str) -> Address:
+        """Return the address that callers of a service use."""
+        names = [service.name for service in self.plan.services]
+        return f"{self.plan.network}.1.{names.index(name) + 1}", 4433
+
+    def zone_of(self, index: int) -> str:
+        """Return the zone of the ``index``-th target or balancer."""
+        return self.plan.zones[index % len(self.plan.zones)]
+
+    def session(self, service: str, *, seed: int = 0) -> Session:
+        """Return a caller's session with a service."""
+        options = SessionOptions(SERVER_NAME, str(self.certificate))
+        address = self.service_address(service)
+        return Session(address, options, rng=random.Random(seed))
+
+    def agents_of(self, service: str) -> list[Agent]:
+        """Return the running agents of a service."""
+        return [
+            member.role
+            for member in self.members.values()
+            if isinstance(member.role, Agent)
+            and member.settings.agent.service == service
+        ]
+
+    def balancers(self) -> list[Balancer]:
+        """Return the running balancers."""
+        roles = [member.role for member in self.members.values()]
+        return [role for role in roles if isinstance(role, Balancer)]
+
+    def upstreams_of(self, service: str) -> list[UpstreamStandin]:
+        """Return the upstreams of a service."""
+        return [
+            upstream
+            for name, upstream in self.upstreams.items()
+            if name.rpartition("-")[0] == service
+        ]
+
+    def build(self) -> BuiltConfiguration:
+        """Build the next generation from the plan and the zones' states."""
+        self.generation += 1
+        fleet = FleetFile.model_validate(
+            {
+                "generation": self.generation,
+                "zones": self.zone_states,
+                "networks": [f"{self.plan.network}.0.0/16"],
+            }
+        )
+        services = [self._service_file(service) for service in self.plan.services]
+        return build_configuration(fleet, services).unwrap()
+
+    def publish(self) -> int:
+        """Publish the next generation and return its number."""
+        self.platform.publish(self.build())
+        return self.generation
+
+    def set_zone(self, zone: str, state: str) -> int:
+        """Take a zone out of service or bring it back."""
+        self.zone_states[zone] = state
+        return self.publish()
+
+    def publish_hosts(self) -> None:
+        """Publish the host list of the plan."""
+        self.platform.hosts = [
+            {
+                "address": self._balancer_address(index),
+                "zone": self.zone_of(index),
+                "role": "balancer",
+            }
+            for index in range(self.plan.balancers)
+        ]
+
+    async def start_balancer(self, index: int) -> Balancer:
+        """Start one balancer."""
+        name = f"balancer-{index}"
+        settings = self._settings(
+            name, "balancer", index, self._balancer_address(index)
+        )
+        settings = settings.model_copy(
+            update={
+                "balancer": BalancerSettings(
+                    service_port_offset=OFFSET_STEP * (index + 1)
+                )
+            }
+        )
+        member = Member(settings, AsyncExitStack())
+        self.members[name] = member
+        member.role = await run_balancer(settings, member.stack, seed=self.seed + index)
+        return member.role
+
+    async def start_agent(self, service: ServicePlan, index: int) -> Agent:
+        """Start the agent of one target."""
+        name = f"{service.name}-{index}"
+        address = self._agent_address(service.name, index)
+        settings = self._settings(name, "agent", index, address).model_copy(
+            update={"agent": self._agent_settings(service, index)}
+        )
+        member = Member(settings, AsyncExitStack())
+        self.members[name] = member
+        member.role = await run_agent(
+            settings,
+            member.stack,
+            seed=self.seed + index,
+            can_relay=self.plan.can_relay,
+        )
+        return member.role
+
+    async def start_upstream(self, service: ServicePlan, index: int) -> None:
+        """Start one upstream, cold."""
+        name = f"{service.name}-{index}"
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            upstream = UpstreamStandin(name, service.upstream)
+            self.upstreams[name] = upstream
+        upstream.turn_cold()
+        stack = AsyncExitStack()
+        self.upstream_stacks[name] = stack
+        await upstream.start(self._upstream_address(service.name, index), stack)
+
+    async def kill_upstream(self, name: str) -> None:
+        """End an upstream at once."""
+        await self.upstream_stacks.pop(name).aclose()
+
+    async def kill(self, name: str) -> None:
+        """End a process without a graceful shutdown."""
+        await self.members.pop(name).stack.aclose()
+
+    async def stop(self, name: str) -> None:
+        """End a process gracefully."""
+        member = self.members[name]
+        await member.role.drain()
+        del self.members[name]
+        await member.stack.aclose()
+
+    def spray_over(self, indexes: list[int]) -> None:
+        """Let the fabric use only some of the balancers."""
+        for fabric in self.fabrics.values():
+            fabric.offsets[:] = [OFFSET_STEP * (index + 1) for index in indexes]
+
+    async def wait_generation(self, generation: int, timeout_s: float = 5.0) -> float:
+        """Wait until every process applies a generation; return the seconds."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        async with asyncio.timeout(timeout_s):
+            while any(
+                member.role.node.generation < generation
+                for member in self.members.values()
+            ):
+                await asyncio.sleep(0.01)
+        return loop.time() - started
+
+    def counter(self, name: str) -> int:
+        """Return a counter summed over all processes."""
+        return sum(
+            member.role.node.metrics.counters[name] for member in self.members.values()
+        )
+
+    def previous_index(self):
+        """Return the published index."""
+        return parse_index(self.platform.published.index).unwrap()
+
+    def _open_fabric(self, service: ServicePlan, number: int) -> None:
+        offsets = [OFFSET_STEP * (i + 1) for i in range(self.plan.balancers)]
+        rng = random.Random(self.seed + number)
+        fabric = Fabric(self.service_address(service.name), offsets, rng)
+        fabric.open()
+        self.stack.callback(fabric.close)
+        self.fabrics[service.name] = fabric
+
+    def _service_file(self, service: ServicePlan) -> ServiceFile:
+        return ServiceFile.model_validate(
+            {
+                "service": service.name,
+                "address": format_address(self.service_address(service.name)),
+                "slots": service.upstream.slots,
+                "cold_slots": service.upstream.cold_slots,
+                "shed_status": SHED_STATUS,
+                "targets": [
+                    {
+                        "agent": self._agent_address(service.name, index),
+                        "zone": self.zone_of(index),
+                    }
+                    for index in range(service.targets)
+                    if f"{service.name}-{index}" not in self.removed
+                ],
+            }
+        )
+
+    def _settings(self, name: str, role: str, index: int, listen: str) -> Settings:
+        values = {
+            "name": name,
+            "role": "balancer",
+            "zone": self.zone_of(index),
+            "listen": listen,
+            "platform": f"http://{format_address(self.platform_address)}",
+            "keys": self.keys.model_dump(),
+        }
+        return Settings.model_validate(values).model_copy(update={"role": role})
+
+    def _agent_settings(self, service: ServicePlan, index: int) -> AgentSettings:
+        upstream = self._upstream_address(service.name, index)
+        return AgentSettings(
+            service=service.name,
+            upstream=f"http://{format_address(upstream)}",
+            certificate=str(self.certificate),
+            private_key=str(self.private_key),
+        )
+
+    def _balancer_address(self, index: int) -> str:
+        return f"{self.plan.network}.2.{index + 1}:7000"
+
+    def _agent_address(self, service: str, index: int) -> str:
+        number = self.service_address(service)[0].rpartition(".")[2]
+        return f"{self.plan.network}.{10 + int(number)}.{index + 1}:7000"
+
+    def _upstream_address(self, service: str, index: int) -> Address:
+        host, _ = parse_address(self._agent_address(service, index))
+        return host, 9000
--- /dev/null
+++ b/plantainyoke/standins/_platform.py
@@ -0,0 +1,101 @@
+"""The operators' configuration service and host list."""
+
+import asyncio
+import json
+from collections import Counter
+from contextlib import AsyncExitStack
+
+from aiohttp import web
+
+from plantainyoke.configuration import BuiltConfiguration, digest_of
+from plantainyoke.wire import Address
+
+
+class PlatformStandin:
+    """Serves published documents; can be down or stale.
+
+    Attributes
+    ----------
+    is_down : bool
+        Whether every call fails.
+    frozen : BuiltConfiguration, optional
+        If set, a stale replica that serves this configuration.
+    calls : Counter
+        Calls by kind; a waiting watch counts as one.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.frozen: BuiltConfiguration | None = None
+        self.published = BuiltConfiguration(b"", {})
+        self.chunks: dict[str, bytes] = {}
+        self.hosts: list[dict] = []
+        self.calls: Counter[str] = Counter()
+        self.changed = asyncio.Event()
+
+    def publish(self, built: BuiltConfiguration) -> None:
+        """Put a configuration in force."""
+        self.published = built
+        self.chunks.update(built.chunks)
+        self._notify()
+
+    def set_down(self, is_down: bool) -> None:
+        """Take the service down or up."""
+        self.is_down = is_down
+        self._notify()
+
+    async def start(self, address: Address, stack: AsyncExitStack) -> None:
+        """Listen until the stack closes."""
+        application = web.Application()
+        application.router.add_get("/configuration/index", self._index)
+        application.router.add_get("/configuration/chunks/{digest}", self._chunk)
+        application.router.add_get("/hosts", self._hosts)
+        application.router.add_get("/stand-in/calls", self._report_calls)
+        runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, *address).start()
+
+    @property
+    def serving(self) -> BuiltConfiguration:
+        """The configuration that readers see."""
+        return self.frozen or self.published
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _index(self, request: web.Request) -> web.Response:
+        self.calls["watch" if "wait" in request.query else "index"] += 1
+        if "wait" in request.query:
+            await self._wait_for_change(request.query)
+        if self.is_down or not self.serving.index:
+            return web.Response(status=503)
+        return web.Response(body=self.serving.index)
+
+    async def _wait_for_change(self, query) -> None:
+        try:
+            async with asyncio.timeout(float(query["wait"])):
+                while not self.is_down and query["not"] == digest_of(
+                    self.serving.index
+                ):
+                    await self.changed.wait()
+        except TimeoutError:
+            return
+
+    async def _chunk(self, request: web.Request) -> web.Response:
+        self.calls["chunk"] += 1
+        if self.is_down:
+            return web.Response(status=503)
+        chunks = self.frozen.chunks if self.frozen else self.chunks
+        body = chunks.get(request.match_info["digest"])
+        return web.Response(status=404) if body is None else web.Response(body=body)
+
+    async def _hosts(self, request: web.Request) -> web.Response:
+        self.calls["hosts"] += 1
+        if self.is_down:
+            return web.Response(status=503)
+        return web.Response(body=json.dumps(self.hosts).encode())
+
+    async def _report_calls(self, request: web.Request) -> web.Response:
+        return web.json_response(dict(self.calls))
--- /dev/null
+++ b/plantainyoke/telemetry/_logging.py
@@ -0,0 +1,66 @@
+"""One line of key=value pairs for each event."""
+
+import logging
+import sys
+from collections.abc import Mapping
+
+from pythonjsonlogger.core import BaseJsonFormatter
+
+LOGGER_NAME = "plantainyoke"
+
+
+class KeyValueFormatter(BaseJsonFormatter):
+    """Formats the fields of a record as ``key=value`` pairs on one line."""
+
+    def jsonify_log_record(self, log_data: Mapping) -> str:
+        """Return the line of one record."""
+        return " ".join(
+            f"{key}={_quote(value)}"
+            for key, value in log_data.items()
+            if value is not None
+        )
+
+
+def _quote(value) -> str:
+    text = str(value)
+    if text and not any(character in text for character in ' "=\n\r\t'):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return '"' + " ".join(escaped.split()) + '"'
+
+
+def configure_logging(*, level: str, process: str, stream=None) -> None:
+    """Send the events of this process to a stream.
+
+    Parameters
+    ----------
+    level : str
+    process : str
+        Name of the process, added to each line.
+    stream : file, default=None
+        Standard error if None.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        KeyValueFormatter(
+            "{asctime}{levelname}{message}",
+            style="{",
+            datefmt="%Y-%m-%dT%H:%M:%S%z",
+            rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
+            static_fields={"process": process},
+        )
+    )
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.handlers[:] = [handler]
+    logger.setLevel(level.upper())
+    logger.propagate = False
+
+
+def get_logger() -> logging.Logger:
+    """Return the logger of the system."""
+    return logging.getLogger(LOGGER_NAME)
+
+
+def log_event(event: str, *, level: int = logging.INFO, **fields) -> None:
+    """Log one event with its fields."""
+    get_logger().log(level, event, extra=fields)
--- /dev/null
+++ b/plantainyoke/telemetry/_metrics.py
@@ -0,0 +1,56 @@
+"""Counters and timings, sent by statsd and kept for ``status``."""
+
+from collections import Counter
+
+import statsd
+
+PREFIX = "plantainyoke"
+
+
+class Metrics:
+    """Counts events by name and forwards them to a statsd server.
+
+    Hot paths count locally; ``flush`` sends the differences since the last one,
+    so that a packet costs no datagram of metrics.
+
+    Parameters
+    ----------
+    address : tuple of (str, int), default=None
+        Address of the statsd server; None keeps the counters local.
+    """
+
+    def __init__(self, address: tuple[str, int] | None = None) -> None:
+        self.counters: Counter[str] = Counter()
+        self.sent: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
+        self.client = None
+        if address is not None:
+            self.client = statsd.StatsClient(*address, prefix=PREFIX)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] += amount
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.gauges[name] = value
+
+    def flush(self) -> None:
+        """Send what changed since the last flush."""
+        if self.client is None:
+            return
+        with self.client.pipeline() as pipeline:
+            for name, total in self.counters.items():
+                change = total - self.sent[name]
+                if change:
+                    pipeline.incr(name, change)
+            for name, value in self.gauges.items():
+                pipeline.gauge(name, value)
+        self.sent = Counter(self.counters)
+
+    def close(self) -> None:
+        """Flush and close the socket."""
+        if self.client is not None:
+            self.flush()
+            self.client.close()
+            self.client = None
--- /dev/null
+++ b/plantainyoke/wire/_address.py
@@ -0,0 +1,52 @@
+"""IPv4 socket addresses as tuples, text and packed integers."""
+
+import socket
+import struct
+from functools import lru_cache
+
+Address = tuple[str, int]
+
+PORT_BITS = 16
+PORT_MASK = 0xFFFF
+ADDRESS_CACHE_SIZE = 65_536
+
+
+@lru_cache(maxsize=ADDRESS_CACHE_SIZE)
+def pack_address(address: Address) -> int:
+    """Pack an IPv4 address and port into ``ip << 16 | port``."""
+    host, port = address
+    (ip,) = struct.unpack("!I", socket.inet_aton(host))
+    return ip << PORT_BITS | port
+
+
+@lru_cache(maxsize=ADDRESS_CACHE_SIZE)
+def unpack_address(packed: int) -> Address:
+    """Return the ``(host, port)`` tuple of a packed address."""
+    host = socket.inet_ntoa(struct.pack("!I", packed >> PORT_BITS & 0xFFFFFFFF))
+    return host, packed & PORT_MASK
+
+
+def parse_address(text: str) -> Address:
+    """Parse ``"host:port"`` with an IPv4 host.
+
+    Raises
+    ------
+    ValueError
+        If the host is not a dotted IPv4 address or the port is not 1 to 65535.
+    """
+    host, separator, port_text = text.rpartition(":")
+    if not separator or not port_text.isdigit():
+        raise ValueError(f"{text!r} is not an IPv4 address and port")
+    port = int(port_text)
+    if not 0 < port <= PORT_MASK:
+        raise ValueError(f"{text!r} has a port outside 1 to 65535")
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        raise ValueError(f"{text!r} is not an IPv4 address and port") from None
+    return host, port
+
+
+def format_address(address: Address) -> str:
+    """Return ``"host:port"``."""
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/plantainyoke/wire/_mac.py
@@ -0,0 +1,38 @@
+"""Keyed message authentication codes for messages between processes."""
+
+import hmac
+from collections.abc import Sequence
+from hashlib import blake2b
+
+MAC_SIZE = 16
+MINIMUM_KEY_SIZE = 16
+
+
+class MessageAuthenticator:
+    """Adds and checks BLAKE2b authentication codes.
+
+    Parameters
+    ----------
+    keys : sequence of bytes
+        The first key signs; every key verifies, so that keys can be rotated.
+    """
+
+    def __init__(self, keys: Sequence[bytes]) -> None:
+        if not keys or any(len(key) < MINIMUM_KEY_SIZE for key in keys):
+            raise ValueError(f"peer keys need at least {MINIMUM_KEY_SIZE} bytes")
+        self.hashers = [blake2b(key=key, digest_size=MAC_SIZE) for key in keys]
+
+    def sign(self, message: bytes) -> bytes:
+        """Return the code of a message under the first key."""
+        hasher = self.hashers[0].copy()
+        hasher.update(message)
+        return hasher.digest()
+
+    def verify(self, code: bytes, message: bytes) -> bool:
+        """Tell whether a code matches a message under any key."""
+        for template in self.hashers:
+            hasher = template.copy()
+            hasher.update(message)
+            if hmac.compare_digest(hasher.digest(), code):
+                return True
+        return False
--- /dev/null
+++ b/plantainyoke/wire/messages.capnp
@@ -0,0 +1,151 @@
+@0xb7c1f0d2a94e6c31;
+
+# Datagrams between processes. Addresses are IPv4 and port packed as ip << 16 | port.
+
+struct Envelope {
+  generation @0 :UInt64;
+  union {
+    forward @1 :Forward;
+    reply @2 :Reply;
+    probe @3 :Probe;
+    probeAck @4 :ProbeAck;
+    gossip @5 :Gossip;
+  }
+}
+
+struct Forward {
+  client @0 :UInt64;
+  service @1 :UInt32;
+  balancer @2 :UInt64;
+  hop @3 :UInt8;
+  alternates @4 :List(UInt64);
+  payload @5 :Data;
+}
+
+struct Reply {
+  client @0 :UInt64;
+  service @1 :UInt32;
+  payload @2 :Data;
+}
+
+struct Probe {
+  nonce @0 :UInt64;
+  role @1 :Role;
+  # Incarnation at which the receiver is suspected, 0 if it is not.
+  suspected @2 :UInt64;
+}
+
+enum Role {
+  balancer @0;
+  agent @1;
+}
+
+struct ProbeAck {
+  nonce @0 :UInt64;
+  incarnation @1 :UInt64;
+  state @2 :TargetState;
+  connections @3 :UInt32;
+  inFlight @4 :UInt16;
+  limit @5 :UInt16;
+  queued @6 :UInt16;
+  # Number that the sender raises to refute a suspicion.
+  liveness @7 :UInt64;
+}
+
+enum TargetState {
+  serving @0;
+  cold @1;
+  full @2;
+  leaving @3;
+  down @4;
+}
+
+struct Gossip {
+  updates @0 :List(Update);
+}
+
+struct Update {
+  target @0 :UInt64;
+  incarnation @1 :UInt64;
+  condition @2 :Condition;
+}
+
+enum Condition {
+  alive @0;
+  suspect @1;
+}
+
+# Frames on TCP links between processes.
+
+struct Frame {
+  generation @0 :UInt64;
+  sequence @1 :UInt64;
+  union {
+    request @2 :Request;
+    responseHead @3 :ResponseHead;
+    responseData @4 :ResponseData;
+    failure @5 :Failure;
+    cancel @6 :UInt64;
+    pull @7 :Pull;
+    document @8 :Document;
+  }
+}
+
+struct Header {
+  name @0 :Data;
+  value @1 :Data;
+}
+
+struct Request {
+  id @0 :UInt64;
+  service @1 :UInt32;
+  method @2 :Text;
+  path @3 :Text;
+  headers @4 :List(Header);
+  body @5 :Data;
+  key @6 :Text;
+  remainingMs @7 :UInt32;
+  resume @8 :Bool;
+  incarnation @9 :UInt64;
+  ageMs @10 :UInt32;
+}
+
+struct ResponseHead {
+  id @0 :UInt64;
+  status @1 :UInt16;
+  headers @2 :List(Header);
+}
+
+struct ResponseData {
+  id @0 :UInt64;
+  data @1 :Data;
+  end @2 :Bool;
+}
+
+struct Failure {
+  id @0 :UInt64;
+  kind @1 :Text;
+  notRun @2 :Bool;
+  retryAfterMs @3 :UInt32;
+}
+
+struct Pull {
+  id @0 :UInt64;
+  # Empty asks for the index, otherwise for the chunk with this digest.
+  chunk @1 :Text;
+  # Digest of the index that the sender has; allows a delta.
+  have @2 :Text;
+}
+
+struct Document {
+  id @0 :UInt64;
+  kind @1 :DocumentKind;
+  # Compressed with zlib.
+  body @2 :Data;
+}
+
+enum DocumentKind {
+  whole @0;
+  delta @1;
+  missing @2;
+}
