--- /dev/null
+++ b/plantainyoke/cli/commands/_build.py
@@ -0,0 +1,80 @@
+"""``plantainyokectl build``."""
+
+import argparse
+import sys
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from plantainyoke.cli._exit import EXIT_FAILURE, EXIT_SUCCESS
+from plantainyoke.configuration import (
+    BuiltConfiguration,
+    DocumentError,
+    Index,
+    build_configuration,
+    load_fleet,
+    parse_index,
+)
+
+INDEX_NAME = "index.json"
+CHUNK_DIRECTORY = "chunks"
+
+
+def add_parser(subparsers) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser(
+        "build",
+        help="turn service files into the documents to publish",
+        description="Validate the service files below DIR and write the index and "
+        "chunks of their generation. The generation must rise.",
+    )
+    parser.add_argument("directory", type=Path, metavar="DIR")
+    parser.add_argument("--out", required=True, type=Path, metavar="DIR")
+    parser.add_argument(
+        "--previous",
+        type=Path,
+        metavar="DIR",
+        help="output of the previous build; leave out for the first generation",
+    )
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Write the documents, or print why they cannot be built."""
+    built = load_fleet(options.directory).bind(
+        lambda loaded: read_previous(options.previous).bind(
+            lambda previous: build_configuration(*loaded, previous=previous)
+        )
+    )
+    if isinstance(built, Failure):
+        print(built.failure(), file=sys.stderr)
+        return EXIT_FAILURE
+    try:
+        write_documents(built.unwrap(), options.out)
+    except OSError as error:
+        print(f"{options.out}: {error.strerror}", file=sys.stderr)
+        return EXIT_FAILURE
+    print(f"wrote {len(built.unwrap().chunks)} chunks and {options.out / INDEX_NAME}")
+    return EXIT_SUCCESS
+
+
+def read_previous(directory: Path | None) -> Result[Index | None, DocumentError]:
+    """Return the index of the previous build."""
+    if directory is None:
+        return Success(None)
+    path = directory / INDEX_NAME
+    try:
+        return parse_index(path.read_bytes())
+    except OSError as error:
+        return Failure(DocumentError(str(path), error.strerror))
+
+
+def write_documents(built: BuiltConfiguration, directory: Path) -> None:
+    """Write chunks first and the index last."""
+    chunks = directory / CHUNK_DIRECTORY
+    chunks.mkdir(parents=True, exist_ok=True)
+    for digest, document in built.chunks.items():
+        (chunks / f"{digest}.json").write_bytes(document)
+    partial = directory / f"{INDEX_NAME}.partial"
+    partial.write_bytes(built.index)
+    partial.replace(directory / INDEX_NAME)
--- a/plantainyoke/configuration/__init__.py
+++ b/plantainyoke/configuration/__init__.py
@@ -29,6 +29,7 @@
     KeySettings,
     Settings,
     load_settings,
+    read_keys,
 )
 from plantainyoke.configuration._snapshot import Service, Snapshot, TargetRecord
 from plantainyoke.configuration._store import ConfigurationStore, Offer
@@ -62,4 +63,5 @@
     "load_settings",
     "parse_chunk",
     "parse_index",
+    "read_keys",
 ]
--- a/plantainyoke/configuration/_settings.py
+++ b/plantainyoke/configuration/_settings.py
@@ -172,10 +172,14 @@
     settings = _resolve_paths(result.unwrap(), path.parent)
     if isinstance(settings.keys, KeySettings):
         return Success(settings)
-    keys = read_model(Path(settings.keys), KeySettings)
-    if isinstance(keys, Failure):
-        return Failure(FaultsError(keys.failure()))
-    return Success(settings.model_copy(update={"keys": keys.unwrap()}))
+    return read_keys(Path(settings.keys)).map(
+        lambda keys: settings.model_copy(update={"keys": keys})
+    )
+
+
+def read_keys(path: Path) -> Result[KeySettings, FaultsError]:
+    """Read a key file."""
+    return read_model(path, KeySettings).alt(FaultsError)
 
 
 def _resolve_paths(settings: Settings, base: Path) -> Settings:
