Let a zone taken out learn of it and finish, and ramp by declared warm-up

Cause 1: agents in a zone taken out got no more packets at once, so they learnt of it only by reading the platform themselves after their parents' silence, and requests in flight there were lost. A bounded grace of 1 s now lets control and established flows finish; new flows still stop at once, and nothing is sent into the zone after the grace. Readers also tell the peers that asked lately as soon as a generation is in force, instead of waiting for the next poll.

Cause 2: the concurrency limit rose after 3 successes, before the upstream was warm. How long a cold start lasts cannot be observed from outside, so the service file now declares warm_up_requests; a failure halves the limit at once.

--- a/plantainyoke/agent/_agent.py
+++ b/plantainyoke/agent/_agent.py
@@ -17,8 +17,14 @@
 from plantainyoke.agent._upstream import Upstream
 from plantainyoke.configuration import AgentSettings, Settings, Snapshot
 from plantainyoke.limits import Refusal, RefusalReason
-from plantainyoke.node import ConfigurationFollower, ControlServer, Node, build_node
-from plantainyoke.node._links import describe_peer
+from plantainyoke.node import (
+    ZONE_GRACE_S,
+    ConfigurationFollower,
+    ControlServer,
+    Node,
+    build_node,
+    describe_peer,
+)
 from plantainyoke.routing import CONNECTION_ID_SIZE, service_identifier
 from plantainyoke.telemetry import log_event
 from plantainyoke.wire import Probe, ProbeAck, TargetState
@@ -28,6 +34,7 @@
 SIBLING_PROBE_INTERVAL_S = 0.4
 LEAVING_CHECK_S = 0.1
 LINGER_S = 0.3
+CLOSE_MARGIN_S = 0.2
 SECONDS_TO_MS = 1000
 
 
@@ -69,6 +76,7 @@
         self.liveness = int(time.time() * SECONDS_TO_MS)
         self.is_stopping = False
         self.is_removed = False
+        self.is_zone_out = False
         self.upstream = Upstream(self.settings.upstream, node.metrics)
         self.siblings = Siblings(node.address, node.allows, rng)
         self.records = OnceRecords(
@@ -102,7 +110,12 @@
 
     def is_leaving(self) -> bool:
         """Tell whether this agent or its upstream takes no new work."""
-        return self.is_stopping or self.is_removed or self.upstream.is_draining
+        return (
+            self.is_stopping
+            or self.is_removed
+            or self.is_zone_out
+            or self.upstream.is_draining
+        )
 
     def apply(self, snapshot: Snapshot) -> None:
         """Take over a new configuration."""
@@ -110,19 +123,25 @@
         self.is_removed = service is None or not any(
             target.agent == self.node.address for target in service.targets
         )
-        if self.node.zone in snapshot.zones_out:
-            log_event("zone_out_of_service", connections=len(self.listener.open))
-            self.listener.close_all("zone out of service")
+        self._apply_zone(self.node.zone in snapshot.zones_out)
         if service is None:
             return
         record = service.record
         self.siblings.apply(service)
         self.dispatcher.request_timeout_s = record.request_timeout_ms / SECONDS_TO_MS
-        self.upstream.configure(
-            slots=record.slots,
-            cold_slots=record.cold_slots,
-            shed_status=record.shed_status,
-        )
+        self.upstream.configure(record)
+
+    def _apply_zone(self, is_out: bool) -> None:
+        """Move callers away when the own zone is taken out, then give them up."""
+        if is_out and not self.is_zone_out:
+            log_event("zone_out_of_service", connections=len(self.listener.open))
+            self.listener.send_goaway()
+            self.loop.call_later(ZONE_GRACE_S - CLOSE_MARGIN_S, self._close_if_out)
+        self.is_zone_out = is_out
+
+    def _close_if_out(self) -> None:
+        if self.is_zone_out:
+            self.listener.close_all("zone out of service")
 
     def state(self) -> TargetState:
         """Return what this agent says of its upstream."""
@@ -288,7 +307,6 @@
     agent = Agent(node, quic, rng, can_relay=can_relay)
     await agent.upstream.open(stack)
     follower = ConfigurationFollower(node, rng)
-    node.follower = follower
     if settings.control is not None:
         queries = {"status": agent.status, "explain": agent.explain}
         await ControlServer(settings.control, queries).start(stack)
--- a/plantainyoke/agent/_upstream.py
+++ b/plantainyoke/agent/_upstream.py
@@ -13,6 +13,7 @@
     Request,
     Sink,
 )
+from plantainyoke.configuration import ServiceRecord
 from plantainyoke.limits import AdaptiveLimit, Admission, Refusal, RefusalReason
 from plantainyoke.telemetry import Metrics
 
@@ -71,12 +72,14 @@
             aiohttp.ClientSession(connector=connector, auto_decompress=False)
         )
 
-    def configure(self, *, slots: int, cold_slots: int, shed_status: int | None):
+    def configure(self, record: ServiceRecord) -> None:
         """Take over the service's limits."""
-        self.limit.ceiling = slots
-        self.limit.floor = min(cold_slots, slots)
-        self.limit.value = min(max(self.limit.value, self.limit.floor), slots)
-        self.shed_status = shed_status
+        limit = self.limit
+        limit.ceiling = record.slots
+        limit.floor = min(record.cold_slots, record.slots)
+        limit.warm_up_requests = record.warm_up_requests
+        limit.value = min(max(limit.value, limit.floor), limit.ceiling)
+        self.shed_status = record.shed_status
         self.admission.wake()
 
     def is_reachable(self, now: float) -> bool:
--- a/plantainyoke/balancer/_balancer.py
+++ b/plantainyoke/balancer/_balancer.py
@@ -15,8 +15,8 @@
     DatagramSocket,
     Node,
     build_node,
+    describe_peer,
 )
-from plantainyoke.node._links import describe_peer
 from plantainyoke.quic import build_stateless_reset, derive_reset_token
 from plantainyoke.routing import CONNECTION_ID_SIZE, ConnectionIdCodec
 from plantainyoke.telemetry import log_event
@@ -55,6 +55,7 @@
         self.steering = Steering(
             ConnectionIdCodec(node.settings.keys.routing_keys),
             self.detector.is_suspect,
+            lambda: node.zones_blocked,
         )
         rate = node.settings.balancer.first_packets_per_s
         self.first_packets = TokenBucket(
@@ -243,7 +244,6 @@
     node = await build_node(settings, stack)
     balancer = Balancer(node, rng)
     follower = ConfigurationFollower(node, rng)
-    node.follower = follower
     if settings.control is not None:
         queries: dict[str, Callable[[dict], dict]] = {
             "status": balancer.status,
--- a/plantainyoke/balancer/_steering.py
+++ b/plantainyoke/balancer/_steering.py
@@ -76,13 +76,19 @@
     codec : ConnectionIdCodec
     is_suspect : callable
         Tells whether new flows should avoid an agent.
+    zones_blocked : callable
+        Returns the zones whose established flows are given up.
     """
 
     def __init__(
-        self, codec: ConnectionIdCodec, is_suspect: Callable[[int], bool]
+        self,
+        codec: ConnectionIdCodec,
+        is_suspect: Callable[[int], bool],
+        zones_blocked: Callable[[], frozenset[int]],
     ) -> None:
         self.codec = codec
         self.is_suspect = is_suspect
+        self.zones_blocked = zones_blocked
         self.snapshot = Snapshot()
         self.zone_returned_at: dict[int, float] = {}
 
@@ -132,7 +138,7 @@
         if target.service != service.id:
             return WRONG_SERVICE
         snapshot = self.snapshot
-        if target.zone in snapshot.zones_out:
+        if target.zone in self.zones_blocked():
             return ZONE_OUT
         if target.zone not in snapshot.zones:
             return UNKNOWN_ZONE
--- a/plantainyoke/balancer/_watch.py
+++ b/plantainyoke/balancer/_watch.py
@@ -5,8 +5,7 @@
 
 from plantainyoke.configuration import Snapshot
 from plantainyoke.membership import FailureDetector, GossipQueue, plan_watchers
-from plantainyoke.node import Node
-from plantainyoke.node._links import describe_peer
+from plantainyoke.node import Node, describe_peer
 from plantainyoke.platform import HostList
 from plantainyoke.telemetry import log_event
 from plantainyoke.wire import Condition, Gossip, Probe, ProbeAck, TargetState, Update
@@ -51,6 +50,7 @@
 
     def answer_probe(self, probe: Probe, peer: int) -> None:
         """Answer another process's probe."""
+        self.node.follower.note_child(peer)
         ack = ProbeAck(probe.nonce, 0, TargetState.SERVING, 0, 0, 0, 0)
         envelope = self.node.codec.encode_probe_ack(self.node.generation, ack)
         self.node.send(envelope, peer, "probe_answer")
--- a/plantainyoke/configuration/_build.py
+++ b/plantainyoke/configuration/_build.py
@@ -97,6 +97,7 @@
         address=pack_address(parse_address(service.address)),
         slots=service.slots,
         cold_slots=service.cold_slots,
+        warm_up_requests=service.warm_up_requests,
         request_timeout_ms=service.request_timeout_ms,
         shed_status=service.shed_status,
         targets={zone: sorted(agents) for zone, agents in sorted(targets.items())},
--- a/plantainyoke/configuration/_documents.py
+++ b/plantainyoke/configuration/_documents.py
@@ -50,6 +50,7 @@
     address: int
     slots: int
     cold_slots: int
+    warm_up_requests: int
     request_timeout_ms: int
     shed_status: int | None = None
     targets: dict[str, list[int]]
--- a/plantainyoke/configuration/_service_files.py
+++ b/plantainyoke/configuration/_service_files.py
@@ -67,7 +67,9 @@
     slots : int
         Requests that one upstream runs at a time.
     cold_slots : int, default=1
-        Requests that an upstream in cold start bears.
+        Requests at a time that an upstream in cold start bears.
+    warm_up_requests : int, default=20
+        Requests that an upstream serves before it leaves cold start.
     request_timeout_ms : int, default=30000
         Longest time for one request.
     shed_status : int, optional
@@ -79,6 +81,7 @@
     address: AddressText
     slots: int = Field(ge=1, le=10_000)
     cold_slots: int = Field(default=1, ge=1, le=10_000)
+    warm_up_requests: int = Field(default=20, ge=1, le=1_000_000)
     request_timeout_ms: int = Field(default=30_000, ge=10, le=3_600_000)
     shed_status: int | None = Field(default=None, ge=400, le=599)
     targets: list[TargetEntry] = Field(min_length=1, max_length=MAX_TARGETS_PER_SERVICE)
--- a/plantainyoke/limits/_adaptive.py
+++ b/plantainyoke/limits/_adaptive.py
@@ -23,6 +23,7 @@
     START = "start"
     SUCCESS = "success"
     SHED = "shed"
+    FAILURE = "failure"
     ERROR_BURST = "error_burst"
     LATENCY_JUMP = "latency_jump"
     UNREACHABLE = "unreachable"
@@ -37,11 +38,14 @@
         Concurrency that an upstream in cold start bears.
     ceiling : int
         Slots of a warm upstream.
+    warm_up_requests : int, default=3
+        Successes at the floor before the limit first rises.
     """
 
-    def __init__(self, floor: int, ceiling: int) -> None:
+    def __init__(self, floor: int, ceiling: int, *, warm_up_requests: int = 3) -> None:
         self.floor = floor
         self.ceiling = ceiling
+        self.warm_up_requests = warm_up_requests
         self.value = floor
         self.cause = LimitCause.START
         self.successes = 0
@@ -66,7 +70,8 @@
         self.slow_answers = 0
         self._update_baseline(latency_s)
         self.successes += 1
-        if self.successes >= SUCCESSES_PER_STEP and self.value < self.ceiling:
+        wanted = self.warm_up_requests if self.is_cold else SUCCESSES_PER_STEP
+        if self.successes >= wanted and self.value < self.ceiling:
             self.successes = 0
             self.value += 1
             self.cause = LimitCause.SUCCESS
@@ -78,9 +83,11 @@
         self.cause = LimitCause.SHED
 
     def record_failure(self) -> None:
-        """Count an error or timeout; a burst means cold."""
+        """Halve the limit after an error or timeout; a burst means cold."""
         self.successes = 0
         self.failures += 1
+        self.value = max(self.floor, int(self.value * DECREASE_FACTOR))
+        self.cause = LimitCause.FAILURE
         if self.failures >= FAILURES_TO_COLD:
             self._turn_cold(LimitCause.ERROR_BURST)
 
--- a/plantainyoke/node/__init__.py
+++ b/plantainyoke/node/__init__.py
@@ -4,10 +4,11 @@
 from plantainyoke.node._control import ControlServer
 from plantainyoke.node._datagrams import DatagramSocket
 from plantainyoke.node._follower import ConfigurationFollower
-from plantainyoke.node._links import Link, LinkClosedError, LinkPool
-from plantainyoke.node._node import Node, build_node
+from plantainyoke.node._links import Link, LinkClosedError, LinkPool, describe_peer
+from plantainyoke.node._node import ZONE_GRACE_S, Node, build_node
 
 __all__ = [
+    "ZONE_GRACE_S",
     "ConfigurationFollower",
     "ControlServer",
     "DatagramSocket",
@@ -17,4 +18,5 @@
     "Node",
     "PauseDetector",
     "build_node",
+    "describe_peer",
 ]
--- a/plantainyoke/node/_follower.py
+++ b/plantainyoke/node/_follower.py
@@ -20,6 +20,7 @@
 PULL_JITTER_S = 0.2
 BOOTSTRAP_RETRY_S = 0.5
 HOSTS_INTERVAL_S = 5.0
+CHILD_VALID_S = 2.0
 WATCH_RETRY_S = 0.5
 READS_PER_ZONE_PER_S = 20.0  # share of one zone of the platform's read budget
 MINIMUM_SELF_READ_S = 3.0
@@ -48,6 +49,7 @@
         self.source = ""
         self.role = DistributionRole(True, ())
         self.heard_at: dict[int, float] = {}
+        self.children: dict[int, float] = {}
         self.behind = asyncio.Event()
         self.ahead: tuple[int, int] = (0, 0)
         self.parent_index = 0
@@ -55,6 +57,7 @@
         self.pulling = asyncio.Lock()
         self.watching: asyncio.Task | None = None
         self.seeds = [pack_address(parse_address(seed)) for seed in node.settings.seeds]
+        node.follower = self
         node.generation_listeners.append(self.note_generation)
         node.links.serve_pull = self.serve_pull
 
@@ -70,6 +73,10 @@
             self.ahead = (generation, peer)
             self.behind.set()
 
+    def note_child(self, peer: int) -> None:
+        """Record that a peer asks this process for its generation."""
+        self.children[peer] = asyncio.get_running_loop().time()
+
     async def bootstrap(self) -> None:
         """Ask the platform and peers, and apply the highest answer.
 
@@ -171,6 +178,7 @@
             log_event("configuration_refused", error=str(applied.failure()))
             return False
         self.source = PLATFORM_SOURCE if peer is None else describe_peer(peer)
+        self._tell_children()
         self.node.metrics.count("configuration.applied")
         log_event(
             "configuration_applied",
@@ -179,6 +187,17 @@
         )
         return True
 
+    def _tell_children(self) -> None:
+        """Send the new generation to the peers that asked lately."""
+        oldest = asyncio.get_running_loop().time() - CHILD_VALID_S
+        self.children = {
+            peer: asked_at
+            for peer, asked_at in self.children.items()
+            if asked_at > oldest
+        }
+        for peer in self.children:
+            self._send_probe(peer)
+
     async def _fetch_chunk(self, digest: str, peer: int | None) -> bytes | None:
         """Return a chunk whose digest matches, from the peer or the platform."""
         if peer is not None:
--- a/plantainyoke/node/_node.py
+++ b/plantainyoke/node/_node.py
@@ -24,6 +24,7 @@
 )
 
 FLUSH_INTERVAL_S = 1.0
+ZONE_GRACE_S = 1.0  # lets a zone taken out learn of it and finish requests
 
 ReceiveMessage = Callable[[object, int], None]
 
@@ -44,6 +45,8 @@
         Called with ``(message, source)`` for each envelope of a type.
     generation_listeners : list of callable
         Called with ``(generation, source)`` for each authentic envelope.
+    zones_blocked : frozenset of int
+        Zones out of service for longer than ``ZONE_GRACE_S``.
     """
 
     settings: Settings
@@ -62,6 +65,8 @@
     socket: DatagramSocket | None = None
     tasks: set[asyncio.Task] = field(default_factory=set)
     follower: object | None = None
+    zones_blocked: frozenset[int] = frozenset()
+    has_configuration: bool = False
 
     @property
     def snapshot(self) -> Snapshot:
@@ -84,8 +89,25 @@
         Nothing is sent into a zone out of service: no data, probe, gossip or
         relay.
         """
-        zones_out = self.snapshot.zones_out
-        return not zones_out or self.zone_of(peer) not in zones_out
+        blocked = self.zones_blocked
+        return not blocked or self.zone_of(peer) not in blocked
+
+    def apply_zones(self, snapshot: Snapshot) -> None:
+        """Block zones taken out after the grace, and allow zones that return."""
+        returned = self.zones_blocked - snapshot.zones_out
+        if returned:
+            self.zones_blocked -= returned
+        if not self.has_configuration:
+            self.has_configuration = True
+            self.zones_blocked = snapshot.zones_out
+        elif not snapshot.zones_out <= self.zones_blocked:
+            loop = asyncio.get_running_loop()
+            loop.call_later(ZONE_GRACE_S, self._block_zones, snapshot.zones_out)
+
+    def _block_zones(self, zones: frozenset[int]) -> None:
+        """Block the zones that have stayed out of service since the grace began."""
+        self.zones_blocked |= zones & self.snapshot.zones_out
+        self.links.close_disallowed()
 
     def send(self, datagram: bytes, peer: int, kind: str) -> bool:
         """Send an envelope to a process and count its bytes by kind."""
@@ -192,7 +214,7 @@
         pauses=PauseDetector(),
         stack=stack,
     )
-    store.listeners.append(lambda snapshot: node.links.close_disallowed())
+    store.listeners.append(node.apply_zones)
     node.socket = DatagramSocket(address, node.receive, metrics)
     stack.callback(node.socket.close)
     await node.links.listen(address)
--- a/plantainyoke/standins/_fleet.py
+++ b/plantainyoke/standins/_fleet.py
@@ -316,6 +316,7 @@
                 "address": format_address(self.service_address(service.name)),
                 "slots": service.upstream.slots,
                 "cold_slots": service.upstream.cold_slots,
+                "warm_up_requests": service.upstream.warm_after,
                 "shed_status": SHED_STATUS,
                 "targets": [
                     {
--- a/plantainyoke/standins/_upstream.py
+++ b/plantainyoke/standins/_upstream.py
@@ -12,7 +12,7 @@
 
 SHED_STATUS = 529
 COLD_FAILURE_STATUS = 500
-EVENT_HISTORY = 10_000
+COLD_SLOWDOWN = 10.0
 
 
 @dataclass
@@ -162,7 +162,7 @@
                 self.warmth = 0
                 return web.Response(status=COLD_FAILURE_STATUS)
             delay_s, self.slow_next_s = self.slow_next_s, 0.0
-            await asyncio.sleep(delay_s or self.options.service_time_s)
+            await asyncio.sleep(delay_s or self._service_time())
             self.served += 1
             self.warmth += 1
             return await self._answer(request, body)
@@ -211,6 +211,10 @@
                 await response.write(f"id: {last}\ndata: {data}\n\n".encode())
             await asyncio.sleep(interval_s)
 
+    def _service_time(self) -> float:
+        is_cold = self.warmth < self.options.warm_after
+        return self.options.service_time_s * (COLD_SLOWDOWN if is_cold else 1.0)
+
     def _must_shed(self) -> bool:
         if self.refuse_share >= 1.0:
             return True
