Move connections from agents that hold more than their share

Cause: flows last hours, so after a zone returned its agents had no connections and its upstreams no work until callers came back by chance. Relaying for balance was ruled out: it costs two agents' work on every request, a move costs one handshake once.

An agent that holds clearly more connections than its siblings' mean sends GOAWAY on a few idle ones each half second; callers move make-before-break.

test_rebalance: 21 flows on 3 agents after a zone returned.

--- a/plantainyoke/agent/_agent.py
+++ b/plantainyoke/agent/_agent.py
@@ -11,6 +11,7 @@
 
 from plantainyoke.agent._dispatch import Dispatcher
 from plantainyoke.agent._listener import Listener
+from plantainyoke.agent._rebalance import Rebalancer
 from plantainyoke.agent._records import OnceRecords
 from plantainyoke.agent._relay import RelayClient, answer_relayed
 from plantainyoke.agent._siblings import Siblings
@@ -103,6 +104,7 @@
             is_leaving=self.is_leaving,
             rng=rng,
         )
+        self.rebalancer = Rebalancer(self.listener, self.siblings, node.metrics)
         node.handlers[Probe] = self.answer_probe
         node.handlers[ProbeAck] = self.receive_answer
         node.links.serve_request = self.serve_relayed
@@ -315,5 +317,6 @@
     node.start(agent.upstream.poll_health(), name="health")
     node.start(agent.probe_siblings(), name="siblings")
     node.start(agent.announce_leaving(), name="leaving")
+    node.start(agent.rebalancer.run(), name="rebalance")
     log_event("agent_started", listen=settings.listen, service=settings.agent.service)
     return agent
--- a/plantainyoke/agent/_connection.py
+++ b/plantainyoke/agent/_connection.py
@@ -164,6 +164,16 @@
         if not self.driver.feed(datagram, source):
             self.metrics.count("drop.inbox_full")
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the caller was asked to move, or has nothing to move yet."""
+        return self.h3 is None or self.h3.goaway_sent
+
+    @property
+    def has_only_watches(self) -> bool:
+        """Whether no request but watches waits for its answer."""
+        return all(request.is_watch for request in self.requests.values())
+
     async def run(self) -> None:
         """Drive the connection until it ends."""
         try:
--- a/plantainyoke/agent/_listener.py
+++ b/plantainyoke/agent/_listener.py
@@ -37,7 +37,7 @@
 MAX_HOPS = 2
 MAX_SESSIONS = 20_000
 BALANCER_VALID_S = 2.0
-CONNECTION_MARGIN = 2  # difference below which a new flow is not passed on
+CONNECTION_MARGIN = 1  # difference below which a new flow is not passed on
 
 
 class Listener:
@@ -175,6 +175,7 @@
             alternates,
             forward.payload,
         )
+        self.siblings.record_passed(agent)
         envelope = self.node.codec.encode_forward(self.node.generation, passed)
         self.node.send(envelope, agent, "data")
 
--- a/plantainyoke/agent/_siblings.py
+++ b/plantainyoke/agent/_siblings.py
@@ -23,13 +23,14 @@
         Its latest answer.
     answered_at : float
         Loop time of that answer.
-    sent : int
-        Requests relayed to it since that answer.
+    sent, passed : int
+        Requests relayed and new flows passed on to it since that answer.
     """
 
     load: ProbeAck | None = None
     answered_at: float = float("-inf")
     sent: int = 0
+    passed: int = 0
 
 
 class Siblings:
@@ -69,6 +70,7 @@
             sibling.load = load
             sibling.answered_at = now
             sibling.sent = 0
+            sibling.passed = 0
 
     def record_failure(self, agent: int) -> None:
         """Forget the load of a sibling that could not be reached."""
@@ -114,4 +116,10 @@
     def connections_of(self, agent: int, now: float) -> int | None:
         """Return the connections of a usable sibling, None if unknown."""
         sibling = self.usable(now).get(agent)
-        return None if sibling is None else sibling.load.connections
+        return None if sibling is None else sibling.load.connections + sibling.passed
+
+    def record_passed(self, agent: int) -> None:
+        """Count a new flow passed on since the last answer."""
+        sibling = self.members.get(agent)
+        if sibling is not None:
+            sibling.passed += 1
--- /dev/null
+++ b/plantainyoke/agent/tests/test_rebalance.py
@@ -0,0 +1,59 @@
+import asyncio
+
+import pytest
+
+from plantainyoke.agent._rebalance import excess_connections
+from plantainyoke.standins import EmbeddedFleet, FleetPlan, ServicePlan
+
+SESSIONS = 21
+
+
+class TestExcessConnections:
+    @pytest.mark.parametrize(
+        ("own", "others", "expected"),
+        [
+            (0, [], 0),
+            (50, [], 0),
+            (5, [5, 5], 0),
+            (6, [5, 5], 0),
+            (30, [0, 0], 19),
+            (0, [30, 30], 0),
+        ],
+    )
+    def test_only_a_clear_excess_is_moved(self, own, others, expected):
+        assert excess_connections(own, others) == expected
+
+
+class TestRebalancing:
+    def test_connections_spread_again_after_a_zone_returns(
+        self, run, network, tmp_path
+    ):
+        async def scenario():
+            plan = FleetPlan(network, services=(ServicePlan("orders", 3),))
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                await fleet.wait_generation(fleet.set_zone("pikine", "out"))
+                sessions = [fleet.session("orders", seed=i) for i in range(SESSIONS)]
+                for session in sessions:
+                    await session.connection()
+                counts = _connections(fleet)
+                assert counts[2] == 0
+                await fleet.wait_generation(fleet.set_zone("pikine", "in"))
+                async with asyncio.timeout(20):
+                    while max(_connections(fleet)) > 1.25 * SESSIONS / 3:
+                        await _order_on_all(sessions)
+                for session in sessions:
+                    await session.aclose()
+                runs = [u.runs for u in fleet.upstreams_of("orders")]
+                assert max(max(item.values(), default=0) for item in runs) == 1
+
+        run(scenario())
+
+
+async def _order_on_all(sessions) -> None:
+    await asyncio.gather(
+        *(item.request("POST", "/orders", body=b"order") for item in sessions)
+    )
+
+
+def _connections(fleet) -> list[int]:
+    return [len(agent.listener.open) for agent in fleet.agents_of("orders")]
--- a/plantainyoke/cli/commands/_demo.py
+++ b/plantainyoke/cli/commands/_demo.py
@@ -14,7 +14,9 @@
 from plantainyoke.telemetry import configure_logging
 
 DEMO_NETWORK = "127.30"
-CALLERS = 6
+STANDING_CALLERS = 4
+PASSING_CALLERS = 4
+ORDERS_PER_VISIT = 20
 PAUSE_S = 0.02
 PHASE_S = 2.5
 QUIET_AFTER_S = 3.0
@@ -74,7 +76,7 @@
             print("2 balancers, 10 agents and upstreams in 3 availability zones")
             callers = [
                 asyncio.create_task(self._order_repeatedly(fleet, number))
-                for number in range(CALLERS)
+                for number in range(STANDING_CALLERS + PASSING_CALLERS)
             ]
             callers.append(asyncio.create_task(self._download_repeatedly(fleet)))
             await self._story(fleet)
@@ -117,12 +119,18 @@
         self._check(_work_in_zone(fleet, zone) > before, f"{zone} works again")
 
     async def _order_repeatedly(self, fleet: EmbeddedFleet, number: int) -> None:
-        async with fleet.session("orders", seed=number) as session:
-            count = 0
-            while not self.stopping.is_set():
-                count += 1
-                await self._order(session, f"caller-{number}-order-{count}")
-                await asyncio.sleep(PAUSE_S)
+        """Send orders on a standing line, or on a new line for each visit."""
+        visit = 0
+        while not self.stopping.is_set():
+            visit += 1
+            async with fleet.session("orders", seed=number) as session:
+                count = 0
+                while not self.stopping.is_set():
+                    if number >= STANDING_CALLERS and count == ORDERS_PER_VISIT:
+                        break
+                    count += 1
+                    await self._order(session, f"order-{number}-{visit}-{count}")
+                    await asyncio.sleep(PAUSE_S)
 
     async def _order(self, session: Session, key: str) -> None:
         try:
