--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; they need the source tree and are not installed."""
--- /dev/null
+++ b/benchmarks/_variants.py
@@ -0,0 +1,55 @@
+"""Runs a process of the system, or of a baseline that leaves something out.
+
+Usage: ``python -m benchmarks._variants {plantainyoke,hash,no-relay} SETTINGS``.
+"""
+
+import functools
+import sys
+
+import xxhash
+
+from plantainyoke.agent import run_agent
+from plantainyoke.balancer import Balancer, Decision, Drop, Verdict
+from plantainyoke.balancer import _balancer as balancer_module
+from plantainyoke.cli import daemon
+from plantainyoke.routing import FirstPacket, UnroutablePacket, parse_packet
+from plantainyoke.wire import pack_address
+
+
+class HashBalancer(Balancer):
+    """Baseline: client address modulo the live targets, for every packet."""
+
+    def receive(self, service_id: int, datagram: bytes, source) -> None:
+        """Remember the caller for the decision."""
+        self.client = pack_address(source).to_bytes(6, "big")
+        self.steering.decide = self.decide
+        super().receive(service_id, datagram, source)
+
+    def decide(self, datagram: bytes, service, now: float) -> Decision | Drop:
+        """Ignore the connection ID."""
+        packet = parse_packet(datagram)
+        if type(packet) is UnroutablePacket:
+            return Drop(packet.reason)
+        agents = service.table(self.node.snapshot.zones_out).agents
+        live = [agent for agent in agents if not self.detector.is_suspect(agent)]
+        live = live or agents
+        if not live:
+            return Drop("no_target")
+        agent = live[xxhash.xxh64_intdigest(self.client) % len(live)]
+        first = type(packet) is FirstPacket
+        verdict = Verdict.TABLE if first else Verdict.CONNECTION_ID
+        return Decision(agent, [], verdict)
+
+
+def main() -> int:
+    """Run the daemon, changed as the variant asks."""
+    variant, settings = sys.argv[1:]
+    if variant == "hash":
+        balancer_module.Balancer = HashBalancer
+    if variant == "no-relay":
+        daemon.RUNNERS["agent"] = functools.partial(run_agent, can_relay=False)
+    return daemon.main(["--settings", settings])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/plantainyoke/agent/_agent.py
+++ b/plantainyoke/agent/_agent.py
@@ -24,11 +24,10 @@
     ControlServer,
     Node,
     build_node,
-    describe_peer,
 )
 from plantainyoke.routing import CONNECTION_ID_SIZE, service_identifier
 from plantainyoke.telemetry import log_event
-from plantainyoke.wire import Probe, ProbeAck, TargetState
+from plantainyoke.wire import Probe, ProbeAck, TargetState, describe_packed
 
 INCARNATION_BITS = 61
 IDLE_TIMEOUT_S = 60.0
@@ -236,7 +235,7 @@
             "limit": {"value": limit.value, "cause": limit.cause.value},
             "records": len(self.records.records),
             "siblings": {
-                describe_peer(agent): {
+                describe_packed(agent): {
                     "state": sibling.load.state.name.lower() if sibling.load else None,
                     "answered_s_ago": round(now - sibling.answered_at, 2),
                 }
--- a/plantainyoke/balancer/_watch.py
+++ b/plantainyoke/balancer/_watch.py
@@ -5,10 +5,18 @@
 
 from plantainyoke.configuration import Snapshot
 from plantainyoke.membership import FailureDetector, GossipQueue, plan_watchers
-from plantainyoke.node import Node, describe_peer
+from plantainyoke.node import Node
 from plantainyoke.platform import HostList
 from plantainyoke.telemetry import log_event
-from plantainyoke.wire import Condition, Gossip, Probe, ProbeAck, TargetState, Update
+from plantainyoke.wire import (
+    Condition,
+    Gossip,
+    Probe,
+    ProbeAck,
+    TargetState,
+    Update,
+    describe_packed,
+)
 
 PROBE_INTERVAL_S = 0.5
 URGENT_PROBE_INTERVAL_S = 0.3
@@ -147,7 +155,7 @@
         suspect = update.condition is Condition.SUSPECT
         name = "target_suspected" if suspect else "target_refuted"
         self.node.metrics.count(f"detector.{name}")
-        log_event(name, target=describe_peer(update.target), evidence=evidence)
+        log_event(name, target=describe_packed(update.target), evidence=evidence)
 
     def _resume(self, gap_s: float) -> None:
         self.node.metrics.count("process.paused")
--- a/plantainyoke/caller/_session.py
+++ b/plantainyoke/caller/_session.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import uuid
-from collections.abc import AsyncIterator, Awaitable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
 from plantainyoke.caller._connection import CallerConnection
@@ -80,6 +80,9 @@
     options : SessionOptions
     rng : random.Random, default=None
         Jitter of the backoff.
+    on_connection_end : callable, default=None
+        Called with ``(connection, cause)`` when the session leaves a
+        connection; the cause is ``"moved"``, ``"lost"`` or ``"silent"``.
 
     Examples
     --------
@@ -94,10 +97,12 @@
         options: SessionOptions,
         *,
         rng: random.Random | None = None,
+        on_connection_end: Callable[[CallerConnection, str], None] | None = None,
     ) -> None:
         self.address = address
         self.options = options
         self.rng = rng or random.Random()
+        self.on_connection_end = on_connection_end
         self.id = uuid.uuid4().hex
         self.epoch = 0
         self.metrics = Metrics()
@@ -363,6 +368,10 @@
         """Close the current connection once its requests have ended."""
         if self.current is None:
             return
+        cause = _end_cause(self.current)
+        self.metrics.count(f"connection.{cause}")
+        if self.on_connection_end is not None:
+            self.on_connection_end(self.current, cause)
         self.retired.add(self.current)
         task = self.loop.create_task(self._reap(self.current))
         self.reaping.add(task)
@@ -430,6 +439,12 @@
         silence.cancel()
 
 
+def _end_cause(connection: CallerConnection) -> str:
+    if connection.retiring.is_set():
+        return "moved"
+    return "lost" if connection.lost.is_set() else "silent"
+
+
 def _as_unknown(error: CallerError) -> CallerError:
     if isinstance(error, OutcomeUnknownError):
         return error
--- a/plantainyoke/node/_follower.py
+++ b/plantainyoke/node/_follower.py
@@ -8,11 +8,11 @@
 
 from plantainyoke.configuration import Offer, digest_of
 from plantainyoke.membership import DistributionRole, plan_distribution
-from plantainyoke.node._links import LinkClosedError, describe_peer
+from plantainyoke.node._links import LinkClosedError
 from plantainyoke.node._node import Node
 from plantainyoke.platform import PlatformStaleError, parse_hosts
 from plantainyoke.telemetry import log_event
-from plantainyoke.wire import Probe, pack_address, parse_address
+from plantainyoke.wire import Probe, describe_packed, pack_address, parse_address
 
 POLL_INTERVAL_S = 0.5
 PARENT_TIMEOUT_S = 2.0
@@ -177,7 +177,7 @@
             self.node.metrics.count("configuration.bad_chunk")
             log_event("configuration_refused", error=str(applied.failure()))
             return False
-        self.source = PLATFORM_SOURCE if peer is None else describe_peer(peer)
+        self.source = PLATFORM_SOURCE if peer is None else describe_packed(peer)
         self._tell_children()
         self.node.metrics.count("configuration.applied")
         log_event(
--- a/plantainyoke/node/_node.py
+++ b/plantainyoke/node/_node.py
@@ -47,6 +47,8 @@
         Called with ``(generation, source)`` for each authentic envelope.
     zones_blocked : frozenset of int
         Zones out of service for longer than ``ZONE_GRACE_S``.
+    received_at : float
+        Loop time of the last envelope.
     """
 
     settings: Settings
@@ -67,6 +69,7 @@
     follower: object | None = None
     zones_blocked: frozenset[int] = frozenset()
     has_configuration: bool = False
+    received_at: float = float("-inf")
 
     @property
     def snapshot(self) -> Snapshot:
@@ -126,6 +129,7 @@
 
     def receive(self, datagram: bytes, source: Address) -> None:
         """Check one envelope and give it to its handler."""
+        self.received_at = self.socket.loop.time()
         try:
             generation, message = self.codec.decode(datagram)
         except AuthenticationError:
@@ -154,6 +158,7 @@
             "generation_source": getattr(self.follower, "source", ""),
             "zones_out": sorted(snapshot.zones[zone] for zone in snapshot.zones_out),
             "platform_calls": self.platform.calls,
+            "received_s_ago": round(self.socket.loop.time() - self.received_at, 3),
             "counters": dict(sorted(self.metrics.counters.items())),
         }
 
--- a/plantainyoke/standins/_platform.py
+++ b/plantainyoke/standins/_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from collections import Counter
 from contextlib import AsyncExitStack
 
@@ -20,6 +21,8 @@
         Whether every call fails.
     frozen : BuiltConfiguration, optional
         If set, a stale replica that serves this configuration.
+    frozen_share : float
+        Share of the calls that reach the stale replica.
     calls : Counter
         Calls by kind; a waiting watch counts as one.
     """
@@ -27,6 +30,8 @@
     def __init__(self) -> None:
         self.is_down = False
         self.frozen: BuiltConfiguration | None = None
+        self.frozen_share = 1.0
+        self.rng = random.Random(0)
         self.published = BuiltConfiguration(b"", {})
         self.chunks: dict[str, bytes] = {}
         self.hosts: list[dict] = []
@@ -59,7 +64,9 @@
     @property
     def serving(self) -> BuiltConfiguration:
         """The configuration that readers see."""
-        return self.frozen or self.published
+        if self.frozen is not None and self.rng.random() < self.frozen_share:
+            return self.frozen
+        return self.published
 
     def _notify(self) -> None:
         self.changed.set()
@@ -69,9 +76,10 @@
         self.calls["watch" if "wait" in request.query else "index"] += 1
         if "wait" in request.query:
             await self._wait_for_change(request.query)
-        if self.is_down or not self.serving.index:
+        serving = self.serving
+        if self.is_down or not serving.index:
             return web.Response(status=503)
-        return web.Response(body=self.serving.index)
+        return web.Response(body=serving.index)
 
     async def _wait_for_change(self, query) -> None:
         try:
--- a/plantainyoke/wire/__init__.py
+++ b/plantainyoke/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from plantainyoke.wire._address import (
     Address,
+    describe_packed,
     format_address,
     pack_address,
     parse_address,
@@ -39,6 +40,7 @@
     "TargetState",
     "Update",
     "WireError",
+    "describe_packed",
     "format_address",
     "handshake_link",
     "pack_address",
--- a/plantainyoke/wire/_address.py
+++ b/plantainyoke/wire/_address.py
@@ -50,3 +50,8 @@
 def format_address(address: Address) -> str:
     """Return ``"host:port"``."""
     return f"{address[0]}:{address[1]}"
+
+
+def describe_packed(packed: int) -> str:
+    """Return ``"host:port"`` of a packed address."""
+    return format_address(unpack_address(packed))
