Call a path silent only when a probe stays unanswered

Cause: silence was measured from the last datagram received, so a request after an idle time of over 1.6 s declared a healthy path silent at once. Ruled out: lost packets (the path answered later pings) and a frozen process.

--- a/plantainyoke/caller/_connection.py
+++ b/plantainyoke/caller/_connection.py
@@ -20,6 +20,7 @@
     ConnectionLostError,
     RefusedError,
 )
+from plantainyoke.caller._silence import SilenceDetector
 from plantainyoke.caller._stream import Headers, ResponseStream
 from plantainyoke.node import DatagramSocket
 from plantainyoke.quic import (
@@ -35,9 +36,6 @@
 from plantainyoke.wire import Address
 
 IDLE_TIMEOUT_S = 60.0
-ACTIVE_PING_INTERVAL_S = 0.5
-IDLE_PING_INTERVAL_S = 15.0
-SILENCE_S = 1.6
 CHECK_INTERVAL_S = 0.1
 
 
@@ -97,6 +95,7 @@
         self.silent = asyncio.Event()
         self.retiring = asyncio.Event()
         self.pings = itertools.count(1)
+        self.silence = SilenceDetector(self.loop.time())
 
     async def open(self, timeout_s: float) -> None:
         """Complete the handshake and learn the agent's incarnation.
@@ -243,18 +242,15 @@
 
     async def _probe(self) -> None:
         """Send PING frames and notice when nothing comes back."""
-        pinged_at = self.loop.time()
         while not self.lost.is_set():
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = self.loop.time()
-            quiet_s = now - max(self.driver.received_at, 0.0)
-            is_active = bool(self.streams)
-            interval = ACTIVE_PING_INTERVAL_S if is_active else IDLE_PING_INTERVAL_S
-            if quiet_s >= interval and now - pinged_at >= interval:
-                pinged_at = now
+            if self.silence.check(
+                now, received_at=self.driver.received_at, is_active=bool(self.streams)
+            ):
                 self.quic.send_ping(next(self.pings))
                 self.driver.wake()
-            if is_active and quiet_s >= SILENCE_S and now - pinged_at < SILENCE_S:
+            if self.silence.is_silent(now) and self.streams:
                 self.silent.set()
 
 
