Relay the share of arrivals above the service's mean rate

Cause: an agent's work followed its connections, and those differ in number by one or two and in rate by far more; watches count as connections and bring no work. Ruled out: finer balancing of connections, which cannot see rates.

Agents tell siblings the rate that their upstream served lately. An agent whose arrivals exceed the mean by 5% relays just the excess, to the warm sibling that serves least and has room.

--- a/plantainyoke/agent/_agent.py
+++ b/plantainyoke/agent/_agent.py
@@ -173,6 +173,7 @@
             limit=self.upstream.limit.value,
             queued=len(admission.waiters),
             liveness=self.liveness,
+            served_rate=self.upstream.served_rate.read(self.loop.time()),
         )
         envelope = self.node.codec.encode_probe_ack(self.node.generation, ack)
         self.node.send(envelope, peer, "probe_answer")
--- a/plantainyoke/agent/_dispatch.py
+++ b/plantainyoke/agent/_dispatch.py
@@ -14,11 +14,13 @@
 from plantainyoke.agent._relay import RelayClient
 from plantainyoke.agent._siblings import Siblings
 from plantainyoke.agent._upstream import Upstream
-from plantainyoke.limits import Refusal, RefusalReason, RetryBudget
+from plantainyoke.limits import DecayingRate, Refusal, RefusalReason, RetryBudget
 from plantainyoke.telemetry import Metrics
 
 MAX_PLACES = 3
 DEFAULT_TIMEOUT_S = 30.0
+MINIMUM_RATE = 2.0  # requests a second; below it rates are noise
+RATE_TOLERANCE = 1.05
 LOCAL = 0  # stands for the upstream beside this agent
 
 
@@ -59,6 +61,8 @@
         self.request_timeout_s = DEFAULT_TIMEOUT_S
         self.budget = RetryBudget()
         self.loop = asyncio.get_running_loop()
+        self.arrival_rate = DecayingRate(self.loop.time())
+        self.relay_credit = 0.0
 
     async def serve(self, request: Request, sink: Sink) -> None:
         """Run one request and write its answer.
@@ -136,8 +140,10 @@
         if request.is_relayed or not self.can_relay:
             return LOCAL
         local_usable = LOCAL not in tried and self._is_local_usable(now)
-        if local_usable and (request.is_watch or self.upstream.admission.has_room):
+        if local_usable and request.is_watch:
             return LOCAL
+        if local_usable and self.upstream.admission.has_room:
+            return self._choose_by_rate(now) if not tried else LOCAL
         choose = self.siblings.choose
         sibling = choose(now, exclude=tried, need_room=not request.is_watch)
         if sibling is not None:
@@ -147,5 +153,24 @@
         sibling = choose(now, exclude=tried, need_room=False)
         return LOCAL if sibling is None else sibling
 
+    def _choose_by_rate(self, now: float) -> int:
+        """Relay the share of the arrivals that exceeds the service's mean rate."""
+        self.arrival_rate.record(now)
+        arrivals = self.arrival_rate.read(now)
+        own_rate = self.upstream.served_rate.read(now)
+        mean = self.siblings.mean_rate(now, own_rate)
+        if mean < MINIMUM_RATE or arrivals <= mean * RATE_TOLERANCE:
+            self.relay_credit = 0.0
+            return LOCAL
+        self.relay_credit += 1.0 - mean / arrivals
+        if self.relay_credit < 1.0:
+            return LOCAL
+        self.relay_credit -= 1.0
+        sibling = self.siblings.least_served(now, mean)
+        if sibling is None:
+            return LOCAL
+        self.metrics.count("request.relayed_for_balance")
+        return sibling
+
     def _is_local_usable(self, now: float) -> bool:
         return not self.is_leaving() and self.upstream.is_reachable(now)
--- a/plantainyoke/agent/_siblings.py
+++ b/plantainyoke/agent/_siblings.py
@@ -11,6 +11,7 @@
 MAX_SIBLINGS = 8
 LOAD_VALID_S = 1.5
 ADDRESS_BYTES = 6
+WARM_STATES = (TargetState.SERVING, TargetState.FULL)
 
 
 @dataclass(slots=True)
@@ -109,6 +110,33 @@
             scored.append((work / max(1, load.limit), self.rng.random(), agent))
         return min(scored)[2] if scored else None
 
+    def mean_rate(self, now: float, own_rate: float) -> float:
+        """Return the mean served rate of this agent and its warm siblings."""
+        rates = [
+            sibling.load.served_rate
+            for sibling in self.usable(now).values()
+            if sibling.load.state in WARM_STATES
+        ]
+        return (own_rate + sum(rates)) / (len(rates) + 1)
+
+    def least_served(self, now: float, below: float) -> int | None:
+        """Return the warm sibling with room that serves least, None if none fits.
+
+        Parameters
+        ----------
+        now : float
+        below : float
+            Served rate that the sibling must be below.
+        """
+        scored = [
+            (sibling.load.served_rate + sibling.sent / LOAD_VALID_S, agent)
+            for agent, sibling in self.usable(now).items()
+            if sibling.load.state is TargetState.SERVING
+            and sibling.load.in_flight + sibling.sent < sibling.load.limit
+        ]
+        rate, agent = min(scored, default=(below, None))
+        return agent if rate < below else None
+
     def record_sent(self, agent: int) -> None:
         """Count a request relayed since the last answer."""
         self.members[agent].sent += 1
--- a/plantainyoke/agent/_upstream.py
+++ b/plantainyoke/agent/_upstream.py
@@ -14,7 +14,13 @@
     Sink,
 )
 from plantainyoke.configuration import ServiceRecord
-from plantainyoke.limits import AdaptiveLimit, Admission, Refusal, RefusalReason
+from plantainyoke.limits import (
+    AdaptiveLimit,
+    Admission,
+    DecayingRate,
+    Refusal,
+    RefusalReason,
+)
 from plantainyoke.telemetry import Metrics
 
 CONNECT_TIMEOUT_S = 1.0
@@ -60,6 +66,7 @@
         self.limit = AdaptiveLimit(1, 1)
         self.admission = Admission(self.limit)
         self.shed_status: int | None = None
+        self.served_rate = DecayingRate(asyncio.get_running_loop().time())
         self.is_draining = False
         self.unreachable_until = float("-inf")
         self.stack = AsyncExitStack()
@@ -174,6 +181,7 @@
 
     def _record_success(self, latency_s: float) -> None:
         self.limit.record_success(latency_s)
+        self.served_rate.record(asyncio.get_running_loop().time())
         self.admission.wake()
 
     def _record_failure(self, is_watch: bool) -> None:
--- a/plantainyoke/wire/_envelope.py
+++ b/plantainyoke/wire/_envelope.py
@@ -20,6 +20,7 @@
 
 MAX_ENVELOPE_SIZE = 4096
 WORD_SIZE = 8
+RATE_SCALE = 1000
 
 Message = Forward | Reply | Probe | ProbeAck | Gossip
 
@@ -76,6 +77,7 @@
         body.limit = ack.limit
         body.queued = ack.queued
         body.liveness = ack.liveness
+        body.servedRate = round(ack.served_rate * RATE_SCALE)
         return self._seal(envelope)
 
     def encode_gossip(self, generation: int, gossip: Gossip) -> bytes:
@@ -152,6 +154,7 @@
         body.limit,
         body.queued,
         body.liveness,
+        body.servedRate / RATE_SCALE,
     )
 
 
--- a/plantainyoke/wire/_messages.py
+++ b/plantainyoke/wire/_messages.py
@@ -83,6 +83,8 @@
         Identifies the run of the process and its idempotency records.
     liveness : int
         Number that the sender raises to refute a suspicion.
+    served_rate : float
+        Requests a second that the upstream served lately.
     """
 
     nonce: int
@@ -93,6 +95,7 @@
     limit: int
     queued: int
     liveness: int = 0
+    served_rate: float = 0.0
 
 
 @dataclass(slots=True)
--- a/plantainyoke/wire/messages.capnp
+++ b/plantainyoke/wire/messages.capnp
@@ -50,6 +50,8 @@
   queued @6 :UInt16;
   # Number that the sender raises to refute a suspicion.
   liveness @7 :UInt64;
+  # Requests served lately, in thousandths of a request a second.
+  servedRate @8 :UInt32;
 }
 
 enum TargetState {
