--- a/plantainyoke/agent/_agent.py
+++ b/plantainyoke/agent/_agent.py
@@ -176,7 +176,7 @@
             served_rate=self.upstream.served_rate.read(self.loop.time()),
         )
         envelope = self.node.codec.encode_probe_ack(self.node.generation, ack)
-        self.node.send(envelope, peer, "probe_answer")
+        self.node.send(envelope, peer, "bytes.probe_answer")
 
     def receive_answer(self, ack: ProbeAck, peer: int) -> None:
         """Note a sibling's load."""
@@ -193,7 +193,7 @@
             for sibling in self.siblings.members:
                 probe = Probe(self.rng.getrandbits(63), False)
                 envelope = self.node.codec.encode_probe(self.node.generation, probe)
-                self.node.send(envelope, sibling, "sibling_probe")
+                self.node.send(envelope, sibling, "bytes.sibling_probe")
             interval = SIBLING_PROBE_INTERVAL_S * (0.75 + self.rng.random() / 2)
             await asyncio.sleep(interval)
 
--- a/plantainyoke/agent/_listener.py
+++ b/plantainyoke/agent/_listener.py
@@ -177,7 +177,7 @@
         )
         self.siblings.record_passed(agent)
         envelope = self.node.codec.encode_forward(self.node.generation, passed)
-        self.node.send(envelope, agent, "data")
+        self.node.send(envelope, agent, "bytes.data")
 
     def _accept(self, forward: Forward, packet: FirstPacket) -> None:
         quic = RoutedQuicConnection(
@@ -228,7 +228,7 @@
         balancer = self._return_path(connection)
         reply = Reply(pack_address(client), self.service_id, datagram)
         envelope = self.node.codec.encode_reply(self.node.generation, reply)
-        self.node.send(envelope, balancer, "data")
+        self.node.send(envelope, balancer, "bytes.data")
 
     def _return_path(self, connection: AgentConnection) -> int:
         """Return a balancer that was heard lately, the connection's if it was."""
@@ -285,5 +285,5 @@
             return
         reply = Reply(forward.client, self.service_id, reset)
         envelope = self.node.codec.encode_reply(self.node.generation, reply)
-        self.node.send(envelope, forward.balancer, "data")
+        self.node.send(envelope, forward.balancer, "bytes.data")
         log_event("flow_reset", client=format_address(unpack_address(forward.client)))
--- a/plantainyoke/balancer/_balancer.py
+++ b/plantainyoke/balancer/_balancer.py
@@ -100,7 +100,7 @@
             datagram,
         )
         envelope = self.node.codec.encode_forward(self.node.generation, forward)
-        self.node.send(envelope, decision.agent, "data")
+        self.node.send(envelope, decision.agent, "bytes.data")
 
     def return_datagram(self, reply: Reply, agent: int) -> None:
         """Send an agent's datagram to the caller from the service's address."""
--- a/plantainyoke/balancer/_steering.py
+++ b/plantainyoke/balancer/_steering.py
@@ -29,7 +29,7 @@
     TABLE = "table"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Decision:
     """Where a datagram goes.
 
@@ -90,6 +90,7 @@
         self.is_suspect = is_suspect
         self.zones_blocked = zones_blocked
         self.snapshot = Snapshot()
+        self.zone_of_agent: dict[int, int] = {}
         self.zone_returned_at: dict[int, float] = {}
 
     def apply(self, snapshot: Snapshot, now: float) -> None:
@@ -100,6 +101,7 @@
         for zone in snapshot.zones_out:
             self.zone_returned_at.pop(zone, None)
         self.snapshot = snapshot
+        self.zone_of_agent = snapshot.zone_of_agent
 
     def zone_share(self, zone: int, now: float) -> float:
         """Return the share of its new flows that a zone takes, 0 to 1."""
@@ -137,10 +139,13 @@
         """
         if target.service != service.id:
             return WRONG_SERVICE
+        zone = target.zone
         snapshot = self.snapshot
-        if target.zone in self.zones_blocked():
+        if zone in self.zones_blocked():
             return ZONE_OUT
-        if target.zone not in snapshot.zones:
+        if self.zone_of_agent.get(target.agent) == zone:
+            return None
+        if zone not in snapshot.zones:
             return UNKNOWN_ZONE
         if not snapshot.allows_agent(target.agent):
             return OUTSIDE_NETWORKS
@@ -177,7 +182,7 @@
     def _ramped(self, key: bytes, agents: list[int], now: float) -> list[int]:
         """Move agents of ramping zones back, but for the share that they take."""
         fraction = xxhash.xxh32_intdigest(key) / HASH_RANGE
-        zone_of = self.snapshot.zone_of_agent
+        zone_of = self.zone_of_agent
         first, last = [], []
         for agent in agents:
             share = self.zone_share(zone_of[agent], now)
--- a/plantainyoke/balancer/_watch.py
+++ b/plantainyoke/balancer/_watch.py
@@ -61,7 +61,7 @@
         self.node.follower.note_child(peer)
         ack = ProbeAck(probe.nonce, 0, TargetState.SERVING, 0, 0, 0, 0)
         envelope = self.node.codec.encode_probe_ack(self.node.generation, ack)
-        self.node.send(envelope, peer, "probe_answer")
+        self.node.send(envelope, peer, "bytes.probe_answer")
 
     def receive_answer(self, ack: ProbeAck, peer: int) -> None:
         """Take a probe's answer as a sign of life."""
@@ -127,7 +127,7 @@
         suspected = self.detector.suspected_at(agent)
         probe = Probe(self.rng.getrandbits(63), True, suspected)
         envelope = self.node.codec.encode_probe(self.node.generation, probe)
-        if self.node.send(envelope, agent, "probe"):
+        if self.node.send(envelope, agent, "bytes.probe"):
             self.detector.record_probe(agent, now)
 
     def _send_gossip(self) -> None:
@@ -145,7 +145,7 @@
             envelope = self.node.codec.encode_gossip(
                 self.node.generation, Gossip(updates)
             )
-            self.node.send(envelope, peer, "gossip")
+            self.node.send(envelope, peer, "bytes.gossip")
 
     def _announce(self, update: Update) -> None:
         self.gossip.add(update)
--- a/plantainyoke/node/_follower.py
+++ b/plantainyoke/node/_follower.py
@@ -321,7 +321,7 @@
     def _send_probe(self, peer: int) -> None:
         probe = Probe(self.rng.getrandbits(63), self.is_balancer)
         envelope = self.node.codec.encode_probe(self.node.generation, probe)
-        self.node.send(envelope, peer, "configuration_probe")
+        self.node.send(envelope, peer, "bytes.configuration_probe")
 
     async def _refresh_hosts_loop(self) -> None:
         while True:
--- a/plantainyoke/routing/_packet.py
+++ b/plantainyoke/routing/_packet.py
@@ -22,14 +22,14 @@
 LONG_HEADER_FIXED_SIZE = 6
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RoutedPacket:
     """A packet whose destination connection ID may lead to an agent."""
 
     connection_id: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class FirstPacket:
     """An Initial packet.
 
