--- /dev/null
+++ b/benchmarks/bench_slopes.py
@@ -0,0 +1,288 @@
+"""Measures how the cost of control grows with the size of the fleet.
+
+Usage: ``python benchmarks/bench_slopes.py [--out FILE]``. Each size runs in a
+process of its own, so that memory is that size's alone. Times are the best of
+several; memory is traced allocations.
+"""
+
+import argparse
+import functools
+import gc
+import json
+import multiprocessing
+import random
+import sys
+import time
+import tracemalloc
+import zlib
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from plantainyoke.agent import OnceRecords, Request  # noqa: E402
+from plantainyoke.configuration import (  # noqa: E402
+    ConfigurationStore,
+    FleetFile,
+    ServiceFile,
+    build_configuration,
+    parse_index,
+)
+from plantainyoke.membership import (  # noqa: E402
+    FailureDetector,
+    GossipQueue,
+    plan_distribution,
+    plan_watchers,
+)
+from plantainyoke.platform import HostEntry, HostList  # noqa: E402
+from plantainyoke.routing import zone_identifier  # noqa: E402
+from plantainyoke.wire import (  # noqa: E402
+    Condition,
+    EnvelopeCodec,
+    Forward,
+    Gossip,
+    MessageAuthenticator,
+    Probe,
+    ProbeAck,
+    TargetState,
+    Update,
+    format_address,
+    unpack_address,
+)
+
+SIZES = ((1_000, 400), (10_000, 4_000), (55_000, 22_000))  # targets, services
+HOST_SIZES = (100, 1_000, 10_000)  # balancers
+ZONES = [f"zone-{number}" for number in range(34)]
+FIRST_AGENT = 0x0A000000
+FIRST_SERVICE = 0xC6120000
+PORT = 7000
+ONE_ZONE_TARGETS = 1_620
+MICROSECONDS = 1e6
+
+
+def agent_address(number: int) -> int:
+    return (FIRST_AGENT + number) << 16 | PORT
+
+
+def make_services(targets: int, services: int, *, seed: int = 0) -> list[ServiceFile]:
+    rng = random.Random(seed)
+    owners = [[number] for number in range(services)]
+    for number in range(services, targets):
+        owners[rng.randrange(services)].append(number)
+    return [
+        ServiceFile.model_validate(
+            {
+                "service": f"service-{index}",
+                "address": format_address(
+                    unpack_address((FIRST_SERVICE + index) << 16 | 443)
+                ),
+                "slots": 4,
+                "targets": [
+                    {
+                        "agent": format_address(unpack_address(agent_address(number))),
+                        "zone": ZONES[number % len(ZONES)],
+                    }
+                    for number in owned
+                ],
+            }
+        )
+        for index, owned in enumerate(owners)
+    ]
+
+
+def make_fleet_file(generation: int) -> FleetFile:
+    return FleetFile.model_validate(
+        {
+            "generation": generation,
+            "zones": dict.fromkeys(ZONES, "in"),
+            "networks": ["10.0.0.0/8"],
+        }
+    )
+
+
+def apply_built(store: ConfigurationStore, built) -> int:
+    """Apply a build; return the bytes that had to be fetched, compressed."""
+    offer = store.evaluate(built.index).unwrap()
+    fetched = {digest: built.chunks[digest] for digest in offer.missing}
+    store.apply(offer, fetched).unwrap()
+    documents = [built.index, *fetched.values()]
+    return sum(len(zlib.compress(document)) for document in documents)
+
+
+def measure_configuration(targets: int, services: int) -> dict:
+    files = make_services(targets, services)
+    first = build_configuration(make_fleet_file(1), files).unwrap()
+    previous = parse_index(first.index).unwrap()
+    changed = [files[0].model_copy(update={"slots": 5}), *files[1:]]
+    second = build_configuration(
+        make_fleet_file(2), changed, previous=previous
+    ).unwrap()
+    result = {
+        "targets": targets,
+        "services": services,
+        "chunks": len(first.chunks),
+        "index_bytes": len(first.index),
+        "largest_value_bytes": max(map(len, first.chunks.values())),
+        "documents_bytes": sum(map(len, first.chunks.values())),
+    }
+    del files, changed
+    for name, service_id in (("balancer", None), ("agent", previous and 1)):
+        gc.collect()
+        tracemalloc.start()
+        store = ConfigurationStore(service_id)
+        apply_built(store, first)
+        assert store.snapshot.zone_of_agent is not None
+        result[f"{name}_kb"] = round(tracemalloc.get_traced_memory()[0] / 1024, 1)
+        tracemalloc.stop()
+        started = time.process_time()
+        result[f"{name}_change_bytes"] = apply_built(store, second)
+        assert store.snapshot.zone_of_agent is not None
+        result[f"{name}_change_ms"] = round((time.process_time() - started) * 1e3, 2)
+    return result
+
+
+def make_hosts(balancers: int) -> HostList:
+    return HostList(
+        tuple(
+            HostEntry(
+                (0x0B000000 + number) << 16 | PORT,
+                zone_identifier(ZONES[number % len(ZONES)]),
+                True,
+                False,
+            )
+            for number in range(balancers)
+        )
+    )
+
+
+def measure_membership(balancers: int) -> dict:
+    hosts = make_hosts(balancers)
+    own = hosts.entries[0]
+    agents = {
+        agent_address(number): zone_identifier(ZONES[number % len(ZONES)])
+        for number in range(balancers * 11 // 2)
+    }
+    started = time.process_time()
+    watched = plan_watchers(hosts, agents, own.address)
+    watch_ms = (time.process_time() - started) * 1e3
+    started = time.process_time()
+    plan_distribution(hosts, address=own.address, zone=own.zone, is_balancer=True)
+    plan_ms = (time.process_time() - started) * 1e3
+    per_agent = best_of(lambda: spread_events(balancers, ONE_ZONE_TARGETS), 3)
+    messages, size = spread_events(balancers, ONE_ZONE_TARGETS)
+    return {
+        "balancers": balancers,
+        "targets": len(agents),
+        "watched": len(watched),
+        "plan_watchers_ms": round(watch_ms, 2),
+        "plan_distribution_ms": round(plan_ms, 2),
+        "gossip_events": ONE_ZONE_TARGETS,
+        "gossip_messages": messages,
+        "gossip_bytes": size,
+        "gossip_us_per_event": round(per_agent / ONE_ZONE_TARGETS * MICROSECONDS, 2),
+    }
+
+
+def spread_events(balancers: int, events: int) -> tuple[int, int]:
+    """Return messages and bytes that one balancer sends to spread events."""
+    codec = EnvelopeCodec(MessageAuthenticator([b"k" * 16]))
+    queue = GossipQueue()
+    detector = FailureDetector(queue.add)
+    for number in range(events):
+        update = Update(agent_address(number), 1, Condition.SUSPECT)
+        if detector.record_gossip(update, 100.0):
+            queue.add(update)
+    messages = size = 0
+    while queue.pending:
+        updates = queue.take(balancers)
+        size += len(codec.encode_gossip(1, Gossip(updates)))
+        messages += 1
+    return messages, size
+
+
+def best_of(function, repeats: int) -> float:
+    best = float("inf")
+    for _ in range(repeats):
+        started = time.process_time()
+        function()
+        best = min(best, time.process_time() - started)
+    return best
+
+
+def measure_messages() -> dict:
+    """Return bytes and CPU microseconds of each kind of datagram."""
+    codec = EnvelopeCodec(MessageAuthenticator([b"k" * 16]))
+    ack = ProbeAck(1, 2, TargetState.SERVING, 3, 4, 5, 6, 7, 8.0)
+    payload = bytes(1200)
+    forward = Forward(1 << 17, 2, 1 << 18, 0, [], payload)
+    encoders = {
+        "probe": lambda: codec.encode_probe(1, Probe(1, True)),
+        "probe_ack": lambda: codec.encode_probe_ack(1, ack),
+        "forward": lambda: codec.encode_forward(1, forward),
+    }
+    result = {}
+    for name, encode in encoders.items():
+        datagram = encode()
+        result[name] = {
+            "bytes": len(datagram),
+            "encode_us": time_call(encode),
+            "decode_us": time_call(functools.partial(codec.decode, datagram)),
+        }
+    return result
+
+
+def time_call(function, count: int = 2_000) -> float:
+    """Return microseconds of one call."""
+    seconds = best_of(lambda: [function() for _ in range(count)], 5)
+    return round(seconds / count * MICROSECONDS, 2)
+
+
+def measure_records(count: int) -> dict:
+    """Return the memory of finished idempotency records."""
+    import asyncio
+
+    from plantainyoke.agent import Answer
+
+    async def fill() -> float:
+        records = OnceRecords(incarnation=1, capacity=count + 1, retention_s=300.0)
+
+        async def run(request: Request) -> Answer:
+            return Answer(200, [(b"content-length", b"60")], bytes(60))
+
+        tracemalloc.start()
+        for number in range(count):
+            request = Request("POST", "/", [], b"", 1e12, key=f"{number:032x}")
+            await records.run(request, run)
+        gc.collect()
+        size = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        return size
+
+    size = asyncio.run(fill())
+    return {"records": count, "bytes_each": round(size / count)}
+
+
+def in_process(function, arguments) -> dict:
+    """Run a measurement in a process of its own."""
+    context = multiprocessing.get_context("spawn")
+    with context.Pool(1) as pool:
+        return pool.apply(function, arguments)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--out", type=Path)
+    options = parser.parse_args()
+    result = {
+        "configuration": [in_process(measure_configuration, size) for size in SIZES],
+        "membership": [in_process(measure_membership, (n,)) for n in HOST_SIZES],
+        "messages": in_process(measure_messages, ()),
+        "records": [in_process(measure_records, (n,)) for n in (1_000, 3_000, 9_000)],
+    }
+    print(json.dumps(result, indent=1))
+    if options.out is not None:
+        options.out.write_text(json.dumps(result, indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
