Apply a change of configuration at the cost of its chunk

Cause: each generation rebuilt the mappings of all services and agents, walked all sockets, and the next cyclic garbage collection walked every object. Ruled out: parsing (0.5 ms for the index, 1 ms for a chunk).

--- a/plantainyoke/balancer/_watch.py
+++ b/plantainyoke/balancer/_watch.py
@@ -45,7 +45,7 @@
         self.watched: list[int] = []
         self.planned_for: tuple[Snapshot, HostList] | None = None
         self.next_probe: dict[int, float] = {}
-        self.agents: set[int] = set()
+        self.agents: dict[int, int] = {}
         node.handlers[Probe] = self.answer_probe
         node.handlers[ProbeAck] = self.receive_answer
         node.handlers[Gossip] = self.receive_gossip
@@ -53,7 +53,7 @@
 
     def apply(self, snapshot: Snapshot) -> None:
         """Watch the agents of a new configuration."""
-        self.agents = set(snapshot.zone_of_agent)
+        self.agents = snapshot.zone_of_agent
         self.detector.forget(self.agents)
 
     def answer_probe(self, probe: Probe, peer: int) -> None:
--- a/plantainyoke/configuration/_store.py
+++ b/plantainyoke/configuration/_store.py
@@ -106,7 +106,11 @@
     def _commit(self, offer: Offer, chunks, documents) -> None:
         held = {**self.documents, **documents}
         self.snapshot = build_snapshot(
-            offer.index, offer.digest, list(chunks.values()), reuse=self.snapshot
+            offer.index,
+            offer.digest,
+            added=[chunks[name] for name in chunks.keys() - self.chunks.keys()],
+            removed=[self.chunks[name] for name in self.chunks.keys() - chunks.keys()],
+            previous=self.snapshot,
         )
         self.index_document = offer.document
         self.chunks = chunks
--- a/plantainyoke/node/_follower.py
+++ b/plantainyoke/node/_follower.py
@@ -1,6 +1,7 @@
 """Keeps the configuration of a process up to date."""
 
 import asyncio
+import gc
 import random
 import zlib
 
@@ -94,7 +95,13 @@
                 await self.refresh_hosts()
 
     def start(self) -> None:
-        """Start following."""
+        """Start following.
+
+        What the first configuration allocated is exempted from cyclic garbage
+        collection; a collection over it would stop packets for long.
+        """
+        gc.collect()
+        gc.freeze()
         self.node.start(self._pull_when_behind(), name="pull")
         self.node.start(self._poll_parents(), name="poll")
         self.node.start(self._refresh_hosts_loop(), name="hosts")
