Suspect a failed zone as one unit, and plan watchers from a kept table

Cause 1: the failure of a zone's 1,620 targets was spread target by target, 40 a message, so balancers learnt of it only after tens of seconds, and every agent was watched from its own zone, whose balancers fail with it. Ruled out: larger messages (the control budget) and a higher rate (10 KB/s of 26 are used already).

Each agent now has a watcher in another zone. A balancer whose own probes find three targets of a zone dead, and no life in it, suspects the zone as one unit (after the failover units of Wolf et al., 2009) and hints at it in gossip. Others take the hint only as a reason to probe a sample of three themselves: a zone that a process reaches stays in use, whoever else lost it.

Cause 2: planning ranked every balancer for every agent.

--- a/benchmarks/bench_slopes.py
+++ b/benchmarks/bench_slopes.py
@@ -20,6 +20,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from plantainyoke.agent import OnceRecords, Request  # noqa: E402
+from plantainyoke.balancer._watch import (  # noqa: E402
+    GOSSIP_FANOUT,
+    GOSSIP_INTERVAL_S,
+)
 from plantainyoke.configuration import (  # noqa: E402
     ConfigurationStore,
     FleetFile,
@@ -33,6 +37,7 @@
     plan_distribution,
     plan_watchers,
 )
+from plantainyoke.membership._failover_unit import SAMPLE_TIMEOUT_S  # noqa: E402
 from plantainyoke.platform import HostEntry, HostList  # noqa: E402
 from plantainyoke.routing import zone_identifier  # noqa: E402
 from plantainyoke.wire import (  # noqa: E402
@@ -57,6 +62,7 @@
 PORT = 7000
 ONE_ZONE_TARGETS = 1_620
 MICROSECONDS = 1e6
+MAX_SPREAD_S = 120.0
 
 
 def agent_address(number: int) -> int:
@@ -171,21 +177,31 @@
     }
     started = time.process_time()
     watched = plan_watchers(hosts, agents, own.address)
+    first_ms = (time.process_time() - started) * 1e3
+    started = time.process_time()
+    plan_watchers(hosts, agents, own.address)
     watch_ms = (time.process_time() - started) * 1e3
     started = time.process_time()
     plan_distribution(hosts, address=own.address, zone=own.zone, is_balancer=True)
     plan_ms = (time.process_time() - started) * 1e3
+    zone_hint = len(
+        EnvelopeCodec(MessageAuthenticator([b"k" * 16])).encode_gossip(
+            1, Gossip([], [own.zone])
+        )
+    )
     per_agent = best_of(lambda: spread_events(balancers, ONE_ZONE_TARGETS), 3)
     messages, size = spread_events(balancers, ONE_ZONE_TARGETS)
     return {
         "balancers": balancers,
         "targets": len(agents),
         "watched": len(watched),
+        "first_plan_ms": round(first_ms, 2),
         "plan_watchers_ms": round(watch_ms, 2),
         "plan_distribution_ms": round(plan_ms, 2),
         "gossip_events": ONE_ZONE_TARGETS,
         "gossip_messages": messages,
         "gossip_bytes": size,
+        "zone_hint_bytes": zone_hint,
         "gossip_us_per_event": round(per_agent / ONE_ZONE_TARGETS * MICROSECONDS, 2),
     }
 
@@ -207,6 +223,50 @@
     return messages, size
 
 
+def measure_zone_failure(balancers: int) -> dict:
+    """Return seconds until 99% avoid a failed zone, without and with hints.
+
+    Messages are handed over in memory at the intervals that balancers use; the
+    zone's watchers know at time 0. With hints, a balancer avoids the zone once
+    its own sample has stayed unanswered.
+    """
+    result = {"balancers": balancers, "events": ONE_ZONE_TARGETS}
+    for name, is_unit in (("single_s", False), ("unit_s", True)):
+        rng = random.Random(1)
+        known_at = spread(balancers, ONE_ZONE_TARGETS, is_unit, rng)
+        result[name] = round(known_at, 1)
+    return result
+
+
+def spread(balancers: int, events: int, is_unit: bool, rng: random.Random) -> float:
+    queues = [GossipQueue() for _ in range(balancers)]
+    known: list[set[int]] = [set() for _ in range(balancers)]
+    hinted_at: dict[int, float] = {}
+    for number in range(events):
+        watcher = number % 10
+        known[watcher].add(number)
+        queues[watcher].add(Update(number, 1, Condition.SUSPECT))
+        hinted_at[watcher] = 0.0
+    now = 0.0
+    while now < MAX_SPREAD_S:
+        now += GOSSIP_INTERVAL_S
+        for node in range(balancers):
+            for peer in rng.sample(range(balancers), GOSSIP_FANOUT):
+                if is_unit and now - hinted_at.get(node, now) >= SAMPLE_TIMEOUT_S:
+                    hinted_at.setdefault(peer, now)
+                for update in queues[node].take(balancers):
+                    if update.target not in known[peer]:
+                        known[peer].add(update.target)
+                        queues[peer].add(update)
+        if is_unit:
+            aware = sum(now - at >= SAMPLE_TIMEOUT_S for at in hinted_at.values())
+        else:
+            aware = sum(len(item) >= 0.99 * events for item in known)
+        if aware >= 0.99 * balancers:
+            return now
+    return float("inf")
+
+
 def best_of(function, repeats: int) -> float:
     best = float("inf")
     for _ in range(repeats):
@@ -284,6 +344,9 @@
         "configuration": [in_process(measure_configuration, size) for size in SIZES],
         "membership": [in_process(measure_membership, (n,)) for n in HOST_SIZES],
         "messages": in_process(measure_messages, ()),
+        "zone_failure": [
+            in_process(measure_zone_failure, (n,)) for n in (50, 100, 200)
+        ],
         "records": [in_process(measure_records, (n,)) for n in (1_000, 3_000, 9_000)],
     }
     print(json.dumps(result, indent=1))
--- a/plantainyoke/balancer/_balancer.py
+++ b/plantainyoke/balancer/_balancer.py
@@ -54,7 +54,7 @@
         self.detector = self.watch.detector
         self.steering = Steering(
             ConnectionIdCodec(node.settings.keys.routing_keys),
-            self.detector.is_suspect,
+            self.watch.is_suspect,
             lambda: node.zones_blocked,
         )
         rate = node.settings.balancer.first_packets_per_s
@@ -106,7 +106,7 @@
 
     def return_datagram(self, reply: Reply, agent: int) -> None:
         """Send an agent's datagram to the caller from the service's address."""
-        self.detector.record_return(agent)
+        self.watch.record_return(agent)
         service_socket = self.sockets.get(reply.service)
         if service_socket is None:
             self.node.metrics.count("drop.reply_unknown_service")
@@ -123,6 +123,10 @@
                 name: round(self.steering.zone_share(zone, now), 2)
                 for zone, name in snapshot.zones.items()
             },
+            "zones_suspected": [
+                snapshot.zones.get(zone, str(zone))
+                for zone in self.watch.zones.suspects()
+            ],
             "suspects": {
                 describe_packed(agent): {
                     "evidence": belief.evidence.value,
@@ -180,7 +184,7 @@
                 {
                     "agent": describe_packed(agent),
                     "zone": names.get(zone_of.get(agent)),
-                    "suspect": self.detector.is_suspect(agent),
+                    "suspect": self.watch.is_suspect(agent),
                 }
                 for agent in agents
             ],
--- a/plantainyoke/balancer/_watch.py
+++ b/plantainyoke/balancer/_watch.py
@@ -4,7 +4,12 @@
 import random
 
 from plantainyoke.configuration import Snapshot
-from plantainyoke.membership import FailureDetector, GossipQueue, plan_watchers
+from plantainyoke.membership import (
+    FailureDetector,
+    GossipQueue,
+    ZoneSuspicions,
+    plan_watchers,
+)
 from plantainyoke.node import Node
 from plantainyoke.platform import HostList
 from plantainyoke.telemetry import log_event
@@ -21,6 +26,7 @@
 PROBE_INTERVAL_S = 0.5
 URGENT_PROBE_INTERVAL_S = 0.3
 SUSPECT_PROBE_INTERVAL_S = 1.0
+PLAN_INTERVAL_S = 1.0
 TICK_S = 0.1
 GOSSIP_INTERVAL_S = 0.2
 GOSSIP_FANOUT = 2
@@ -42,7 +48,10 @@
         self.loop = asyncio.get_running_loop()
         self.gossip = GossipQueue()
         self.detector = FailureDetector(self._announce)
+        self.zones = ZoneSuspicions(rng)
+        self.agents_of: dict[int, list[int]] = {}
         self.watched: list[int] = []
+        self.planned_at = float("-inf")
         self.planned_for: tuple[Snapshot, HostList] | None = None
         self.next_probe: dict[int, float] = {}
         self.agents: dict[int, int] = {}
@@ -56,6 +65,20 @@
         self.agents = snapshot.zone_of_agent
         self.detector.forget(self.agents)
 
+    def is_suspect(self, agent: int) -> bool:
+        """Tell whether new flows should avoid an agent."""
+        if self.detector.is_suspect(agent):
+            return True
+        if not self.zones.is_any_suspect:
+            return False
+        return self.zones.is_suspect(self.agents.get(agent))
+
+    def record_return(self, agent: int) -> None:
+        """Take a datagram of a flow as a sign of life."""
+        self.detector.record_return(agent)
+        if self.zones.beliefs:
+            self._record_zone_life(agent)
+
     def answer_probe(self, probe: Probe, peer: int) -> None:
         """Answer another process's probe."""
         self.node.follower.note_child(peer)
@@ -67,6 +90,7 @@
         """Take a probe's answer as a sign of life."""
         if ack.liveness and peer in self.agents:
             self.detector.record_answer(peer, ack.liveness, self.loop.time())
+            self._record_zone_life(peer)
 
     def receive_gossip(self, gossip: Gossip, peer: int) -> None:
         """Take over changes of belief and pass on what is news."""
@@ -77,6 +101,8 @@
             if self.detector.record_gossip(update, now):
                 self.gossip.add(update)
                 self._log_change(update, "gossip")
+        for zone in gossip.zones:
+            self.zones.record_hint(zone, now)
 
     async def run(self) -> None:
         """Probe and gossip until cancelled."""
@@ -87,6 +113,7 @@
             self.node.pauses.check(now)
             self._plan()
             self._probe_due(now)
+            self._judge_zones(now)
             if now >= gossip_at:
                 gossip_at = now + GOSSIP_INTERVAL_S
                 self._send_gossip()
@@ -97,6 +124,10 @@
             old is new for old, new in zip(self.planned_for, current, strict=True)
         ):
             return
+        now = self.loop.time()
+        if now - self.planned_at < PLAN_INTERVAL_S:
+            return
+        self.planned_at = now
         self.planned_for = current
         zones_out = self.node.snapshot.zones_out
         agents = {
@@ -105,6 +136,9 @@
             if zone not in zones_out
         }
         self.watched = plan_watchers(self.node.hosts, agents, self.node.address)
+        self.agents_of = {}
+        for agent, zone in agents.items():
+            self.agents_of.setdefault(zone, []).append(agent)
 
     def _probe_due(self, now: float) -> None:
         self.detector.expire(now)
@@ -120,15 +154,32 @@
             if agent not in self.detector.urgent:
                 self._probe_if_due(agent, now, PROBE_INTERVAL_S)
 
+    def _judge_zones(self, now: float) -> None:
+        for agent in self.zones.sample(now, self.agents_of):
+            self._send_probe(agent)
+        for zone in self.zones.judge(now):
+            name = self.node.snapshot.zones.get(zone, str(zone))
+            self.node.metrics.count("detector.zone_suspected")
+            log_event("zone_suspected", suspected=name)
+
+    def _record_zone_life(self, agent: int) -> None:
+        zone = self.agents.get(agent)
+        if zone is not None and self.zones.record_life(zone, self.loop.time()):
+            self.node.metrics.count("detector.zone_refuted")
+            log_event("zone_refuted", zone=self.node.snapshot.zones.get(zone))
+
     def _probe_if_due(self, agent: int, now: float, interval: float) -> None:
         if now < self.next_probe.get(agent, 0.0):
             return
         self.next_probe[agent] = now + interval * (0.9 + 0.2 * self.rng.random())
+        if self._send_probe(agent):
+            self.detector.record_probe(agent, now)
+
+    def _send_probe(self, agent: int) -> bool:
         suspected = self.detector.suspected_at(agent)
         probe = Probe(self.rng.getrandbits(63), True, suspected)
         envelope = self.node.codec.encode_probe(self.node.generation, probe)
-        if self.node.send(envelope, agent, "bytes.probe"):
-            self.detector.record_probe(agent, now)
+        return self.node.send(envelope, agent, "bytes.probe")
 
     def _send_gossip(self) -> None:
         peers = [
@@ -136,18 +187,18 @@
             for entry in self.node.hosts.balancers()
             if entry.address != self.node.address and self.node.allows(entry.address)
         ]
-        if not peers or not self.gossip.pending:
+        zones = self.zones.suspects()
+        if not peers or not (zones or self.gossip.pending):
             return
         for peer in self.rng.sample(peers, min(GOSSIP_FANOUT, len(peers))):
-            updates = self.gossip.take(len(peers))
-            if not updates:
-                return
-            envelope = self.node.codec.encode_gossip(
-                self.node.generation, Gossip(updates)
-            )
+            gossip = Gossip(self.gossip.take(len(peers)), zones)
+            envelope = self.node.codec.encode_gossip(self.node.generation, gossip)
             self.node.send(envelope, peer, "bytes.gossip")
 
     def _announce(self, update: Update) -> None:
+        zone = self.agents.get(update.target)
+        if update.condition is Condition.SUSPECT and zone is not None:
+            self.zones.record_suspect(zone, update.target)
         self.gossip.add(update)
         self._log_change(update, "own")
 
@@ -161,3 +212,4 @@
         self.node.metrics.count("process.paused")
         log_event("process_paused", seconds=round(gap_s, 2))
         self.detector.resume(self.loop.time())
+        self.zones.resume()
--- a/plantainyoke/membership/__init__.py
+++ b/plantainyoke/membership/__init__.py
@@ -4,10 +4,11 @@
     Belief,
     FailureDetector,
     Observation,
-    plan_watchers,
 )
 from plantainyoke.membership._distribution import DistributionRole, plan_distribution
+from plantainyoke.membership._failover_unit import ZoneSuspicions
 from plantainyoke.membership._gossip import GossipQueue
+from plantainyoke.membership._watchers import plan_watchers
 
 __all__ = [
     "Belief",
@@ -15,6 +16,7 @@
     "FailureDetector",
     "GossipQueue",
     "Observation",
+    "ZoneSuspicions",
     "plan_distribution",
     "plan_watchers",
 ]
--- a/plantainyoke/membership/_detector.py
+++ b/plantainyoke/membership/_detector.py
@@ -4,18 +4,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from plantainyoke.platform import HostList
-from plantainyoke.routing import rank_by_rendezvous
 from plantainyoke.wire import Condition, Update
 
-WATCHERS_PER_AGENT = 2
 UNANSWERED_FORWARDS = 2
 FORWARD_TIMEOUT_S = 0.4
 PROBE_TIMEOUT_S = 0.25
 PROBES_TO_SUSPECT = 3
 PAUSE_GRACE_S = 2.0
 HEARSAY_GRACE_S = 1.5
-ADDRESS_BYTES = 6
 
 
 class Observation(Enum):
@@ -207,38 +203,3 @@
         belief.condition = condition
         belief.evidence = evidence
         belief.since = now
-
-
-def plan_watchers(hosts: HostList, agents: dict[int, int], own: int) -> list[int]:
-    """Return the agents that a balancer probes regularly.
-
-    Parameters
-    ----------
-    hosts : HostList
-    agents : dict of int to int
-        Zone by packed agent address.
-    own : int
-        Packed address of the balancer.
-
-    Returns
-    -------
-    list of int
-        Agents for which it is among the ``WATCHERS_PER_AGENT`` first balancers
-        of the agent's zone, or of the fleet if that zone has none.
-    """
-    balancers = hosts.balancers()
-    by_zone: dict[int, list[bytes]] = {}
-    for entry in balancers:
-        encoded = entry.address.to_bytes(ADDRESS_BYTES, "big")
-        by_zone.setdefault(entry.zone, []).append(encoded)
-    everyone = [encoded for members in by_zone.values() for encoded in members]
-    own_encoded = own.to_bytes(ADDRESS_BYTES, "big")
-    watched = []
-    for agent, zone in agents.items():
-        pool = by_zone.get(zone, everyone)
-        if own_encoded not in pool:
-            continue
-        key = agent.to_bytes(ADDRESS_BYTES, "big")
-        if own_encoded in rank_by_rendezvous(key, pool)[:WATCHERS_PER_AGENT]:
-            watched.append(agent)
-    return watched
--- a/plantainyoke/membership/_gossip.py
+++ b/plantainyoke/membership/_gossip.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections import OrderedDict
 
 from plantainyoke.wire import Update
 
@@ -17,14 +17,21 @@
 
 
 class GossipQueue:
-    """Changes that are still to be told, least told first."""
+    """Changes that are still to be told, the newest and least told first.
+
+    Attributes
+    ----------
+    pending : OrderedDict of int to (int, Update)
+        How often each change was told, and the change, by target.
+    """
 
     def __init__(self) -> None:
-        self.pending: dict[int, tuple[int, Update]] = {}
+        self.pending: OrderedDict[int, tuple[int, Update]] = OrderedDict()
 
     def add(self, update: Update) -> None:
         """Queue a change; it replaces an older one about the same target."""
         self.pending[update.target] = (0, update)
+        self.pending.move_to_end(update.target, last=False)
 
     def take(self, peer_count: int) -> list[Update]:
         """Return the next batch and forget changes told often enough.
@@ -35,16 +42,11 @@
             Number of processes among which changes spread.
         """
         copies = COPIES_PER_DOUBLING * max(1, math.ceil(math.log2(peer_count + 1)))
-        batch = self._least_told()
-        for target, (told, update) in batch:
-            if told + 1 >= copies:
-                del self.pending[target]
-            else:
-                self.pending[target] = (told + 1, update)
-        return [update for _, (_, update) in batch]
-
-    def _least_told(self) -> list[tuple[int, tuple[int, Update]]]:
-        items: Iterable = self.pending.items()
-        if len(self.pending) > MAX_UPDATES_PER_MESSAGE:
-            items = sorted(items, key=lambda item: item[1][0])
-        return list(items)[:MAX_UPDATES_PER_MESSAGE]
+        batch = []
+        for _ in range(min(MAX_UPDATES_PER_MESSAGE, len(self.pending))):
+            target, (told, update) = self.pending.popitem(last=False)
+            batch.append((target, told + 1, update))
+        for target, told, update in batch:
+            if told < copies:
+                self.pending[target] = (told, update)
+        return [update for _, _, update in batch]
--- a/plantainyoke/wire/_envelope.py
+++ b/plantainyoke/wire/_envelope.py
@@ -90,6 +90,8 @@
             slot.target = update.target
             slot.incarnation = update.incarnation
             slot.condition = int(update.condition)
+        if gossip.zones:
+            body.zones = gossip.zones
         return self._seal(KIND_GOSSIP, body)
 
     def decode(self, datagram: bytes) -> tuple[int, Message]:
@@ -169,7 +171,8 @@
         [
             Update(item.target, item.incarnation, Condition(item.condition.raw))
             for item in body.updates
-        ]
+        ],
+        list(body.zones),
     )
 
 
--- a/plantainyoke/wire/_messages.py
+++ b/plantainyoke/wire/_messages.py
@@ -1,6 +1,6 @@
 """Typed messages carried in datagram envelopes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 
 
@@ -109,6 +109,14 @@
 
 @dataclass(slots=True)
 class Gossip:
-    """A bounded batch of changes of belief."""
+    """A bounded batch of changes of belief.
+
+    Attributes
+    ----------
+    updates : list of Update
+    zones : list of int
+        Zones that the sender suspects as a whole.
+    """
 
     updates: list[Update]
+    zones: list[int] = field(default_factory=list)
--- a/plantainyoke/wire/messages.capnp
+++ b/plantainyoke/wire/messages.capnp
@@ -61,6 +61,8 @@
 struct Gossip {
   generation @0 :UInt64;
   updates @1 :List(Update);
+  # Zones that the sender suspects as a whole.
+  zones @2 :List(UInt16);
 }
 
 struct Update {
