Pull the host list along the distribution tree

Cause: every process read the host list from the platform every 5 s, so calls grew with processes: 65,000 of them would make 13,000 reads a second (bound 2,000). Now only readers ask the platform, the others ask their parents, and a long list is refreshed more slowly.

--- a/plantainyoke/node/_follower.py
+++ b/plantainyoke/node/_follower.py
@@ -21,6 +21,8 @@
 PULL_JITTER_S = 0.2
 BOOTSTRAP_RETRY_S = 0.5
 HOSTS_INTERVAL_S = 5.0
+HOSTS_ENTRIES_PER_S = 200.0  # bounds the bytes that a long list costs
+HOSTS_DOCUMENT = "hosts"
 CHILD_VALID_S = 2.0
 WATCH_RETRY_S = 0.5
 READS_PER_ZONE_PER_S = 20.0  # share of one zone of the platform's read budget
@@ -49,6 +51,7 @@
         self.rng = rng
         self.source = ""
         self.role = DistributionRole(True, ())
+        self.hosts_document = b""
         self.heard_at: dict[int, float] = {}
         self.children: dict[int, float] = {}
         self.behind = asyncio.Event()
@@ -108,14 +111,20 @@
         self._update_watch()
 
     async def refresh_hosts(self) -> None:
-        """Read the host list from the platform."""
-        result = await self.node.platform.read_hosts(self.node.settings.zone)
-        hosts = result.bind(parse_hosts)
-        if isinstance(hosts, Failure):
-            self.node.metrics.count("platform.hosts_failed")
-            return
-        self.node.hosts = hosts.unwrap()
-        self._plan()
+        """Read the host list from a parent, or from the platform.
+
+        Readers and processes without a parent that answers ask the platform.
+        """
+        document = b""
+        if not self.role.is_reader:
+            document = await self._pull_hosts()
+        if not document:
+            result = await self.node.platform.read_hosts(self.node.settings.zone)
+            if isinstance(result, Failure):
+                self.node.metrics.count("platform.hosts_failed")
+                return
+            document = result.unwrap()
+        self._take_hosts(document)
 
     async def read_platform(self) -> None:
         """Read the index once and apply it if it is newer."""
@@ -161,7 +170,9 @@
         request = frame["pull"]
         store = self.node.store
         body = store.index_document
-        if request["chunk"]:
+        if request["chunk"] == HOSTS_DOCUMENT:
+            body = self.hosts_document
+        elif request["chunk"]:
             body = store.documents.get(request["chunk"], b"")
         answer = link.new_frame()
         document = answer.init("document")
@@ -243,6 +254,28 @@
         finally:
             link.close_request(number)
 
+    async def _pull_hosts(self) -> bytes:
+        for parent in self.role.parents:
+            try:
+                async with asyncio.timeout(PULL_TIMEOUT_S):
+                    document = await self._pull_document(parent, HOSTS_DOCUMENT)
+            except (LinkClosedError, TimeoutError, zlib.error):
+                document = b""
+            if document:
+                return document
+        return b""
+
+    def _take_hosts(self, document: bytes) -> None:
+        if document == self.hosts_document:
+            return
+        hosts = parse_hosts(document)
+        if isinstance(hosts, Failure):
+            self.node.metrics.count("platform.hosts_failed")
+            return
+        self.hosts_document = document
+        self.node.hosts = hosts.unwrap()
+        self._plan()
+
     def _plan(self) -> None:
         self.role = plan_distribution(
             self.node.hosts,
@@ -332,7 +365,9 @@
 
     async def _refresh_hosts_loop(self) -> None:
         while True:
-            await asyncio.sleep(HOSTS_INTERVAL_S * (0.75 + self.rng.random() / 2))
+            entries = len(self.node.hosts.entries)
+            interval = max(HOSTS_INTERVAL_S, entries / HOSTS_ENTRIES_PER_S)
+            await asyncio.sleep(interval * (0.75 + self.rng.random() / 2))
             await self.refresh_hosts()
 
 
