--- /dev/null
+++ b/plantainyoke/balancer/tests/test_steering.py
@@ -0,0 +1,182 @@
+import os
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainyoke.balancer import Decision, Drop, Steering, Verdict
+from plantainyoke.balancer._steering import ZONE_RAMP_S
+from plantainyoke.configuration import (
+    ConfigurationStore,
+    FleetFile,
+    ServiceFile,
+    build_configuration,
+)
+from plantainyoke.routing import (
+    ConnectionIdCodec,
+    RoutingKey,
+    Target,
+    service_identifier,
+    zone_identifier,
+)
+
+KEYS = [RoutingKey(0, b"k" * 16)]
+ZONES = ("plateau", "rufisque", "pikine")
+
+
+def _snapshot(**states):
+    store = ConfigurationStore()
+    fleet = {
+        "generation": 1,
+        "zones": {zone: states.get(zone, "in") for zone in ZONES},
+        "networks": ["10.0.0.0/8"],
+    }
+    services = [
+        {
+            "service": name,
+            "address": f"192.0.2.{number}:443",
+            "slots": 4,
+            "targets": [
+                {"agent": f"10.0.{number}.{index}:7000", "zone": ZONES[index % 3]}
+                for index in range(1, 7)
+            ],
+        }
+        for number, name in enumerate(("orders", "drawings"), start=1)
+    ]
+    built = build_configuration(
+        FleetFile.model_validate(fleet),
+        [ServiceFile.model_validate(item) for item in services],
+    ).unwrap()
+    offer = store.evaluate(built.index).unwrap()
+    return store.apply(offer, built.chunks).unwrap()
+
+
+SNAPSHOT = _snapshot()
+ORDERS = SNAPSHOT.services[service_identifier("orders")]
+DRAWINGS = SNAPSHOT.services[service_identifier("drawings")]
+
+
+def _steering(snapshot=SNAPSHOT, suspects=(), blocked=frozenset()) -> Steering:
+    steering = Steering(
+        ConnectionIdCodec(KEYS), lambda agent: agent in suspects, lambda: blocked
+    )
+    steering.apply(snapshot, 0.0)
+    return steering
+
+
+def _established(target: Target) -> bytes:
+    return (b"\x40" + ConnectionIdCodec(KEYS).issue(target)).ljust(60, b"x")
+
+
+def _first(connection_id: bytes, token: bytes = b"") -> bytes:
+    head = b"\xc0\x00\x00\x00\x01" + bytes([len(connection_id)]) + connection_id
+    return (head + b"\x00" + bytes([len(token)]) + token).ljust(1200, b"\0")
+
+
+class TestEstablishedFlows:
+    def test_follow_the_connection_id_after_the_target_left(self):
+        gone = Target(10 << 40 | 9 << 16 | 7000, zone_identifier("plateau"), ORDERS.id)
+        decision = _steering().decide(_established(gone), ORDERS, 0.0)
+        assert decision == Decision(gone.agent, [], Verdict.CONNECTION_ID)
+
+    def test_suspicion_does_not_move_them(self):
+        target = ORDERS.targets[0]
+        flow = _established(Target(target.agent, target.zone, ORDERS.id))
+        steering = _steering(suspects={target.agent})
+        assert steering.decide(flow, ORDERS, 0.0).agent == target.agent
+
+    @pytest.mark.parametrize(
+        ("change", "reason"),
+        [
+            ({"service": DRAWINGS.id}, "wrong_service"),
+            ({"zone": 1}, "unknown_zone"),
+            ({"agent": 192 << 40 | 7000}, "outside_networks"),
+        ],
+    )
+    def test_forged_targets_are_dropped(self, change, reason):
+        target = ORDERS.targets[0]
+        fields = {"agent": target.agent, "zone": target.zone, "service": ORDERS.id}
+        forged = _established(Target(**{**fields, **change}))
+        assert _steering().decide(forged, ORDERS, 0.0) == Drop(reason)
+
+    def test_zone_out_is_dropped_once_blocked(self):
+        zone = zone_identifier("rufisque")
+        target = next(item for item in ORDERS.targets if item.zone == zone)
+        flow = _established(Target(target.agent, zone, ORDERS.id))
+        snapshot = _snapshot(rufisque="out")
+        in_grace = _steering(snapshot).decide(flow, ORDERS, 0.0)
+        assert in_grace.agent == target.agent
+        blocked = _steering(snapshot, blocked=frozenset({zone}))
+        assert blocked.decide(flow, ORDERS, 0.0) == Drop("zone_out")
+
+
+class TestNewFlows:
+    @given(st.binary(min_size=8, max_size=20))
+    def test_two_balancers_agree(self, connection_id):
+        datagram = _first(connection_id)
+        first = _steering().decide(datagram, ORDERS, 0.0)
+        assert first == _steering().decide(datagram, ORDERS, 0.0)
+        assert first.agent in {target.agent for target in ORDERS.targets}
+
+    @given(st.binary(min_size=8, max_size=16))
+    def test_avoid_suspects_and_zones_out(self, connection_id):
+        snapshot = _snapshot(rufisque="out")
+        service = snapshot.services[ORDERS.id]
+        suspects = {service.targets[0].agent}
+        steering = _steering(snapshot, suspects)
+        decision = steering.decide(_first(connection_id), service, 0.0)
+        chosen = {decision.agent, *decision.alternates}
+        assert not chosen & suspects
+        zones = {snapshot.zone_of_agent[agent] for agent in chosen}
+        assert zone_identifier("rufisque") not in zones
+
+    def test_all_suspect_is_no_reason_to_refuse(self):
+        suspects = {target.agent for target in ORDERS.targets}
+        steering = _steering(suspects=suspects)
+        decision = steering.decide(_first(os.urandom(8)), ORDERS, 0.0)
+        assert decision.agent in suspects
+
+    def test_token_leads_to_its_agent(self):
+        target = ORDERS.targets[3]
+        token = ConnectionIdCodec(KEYS).issue(
+            Target(target.agent, target.zone, ORDERS.id)
+        )
+        decision = _steering().decide(_first(os.urandom(8), token), ORDERS, 0.0)
+        assert decision == Decision(target.agent, [], Verdict.TOKEN)
+
+    def test_token_of_another_service_is_ignored(self):
+        target = DRAWINGS.targets[0]
+        token = ConnectionIdCodec(KEYS).issue(
+            Target(target.agent, target.zone, DRAWINGS.id)
+        )
+        decision = _steering().decide(_first(os.urandom(8), token), ORDERS, 0.0)
+        assert decision.verdict is Verdict.TABLE
+
+    def test_returned_zone_ramps(self):
+        steering = _steering(_snapshot(rufisque="out"))
+        steering.apply(_snapshot(), 100.0)
+        zone = zone_identifier("rufisque")
+        service = steering.snapshot.services[ORDERS.id]
+
+        def share(now: float) -> float:
+            keys = [number.to_bytes(8, "big") for number in range(2_000)]
+            agents = [steering.candidates(key, service, now)[0] for key in keys]
+            inside = sum(steering.zone_of_agent[agent] == zone for agent in agents)
+            return inside / len(keys)
+
+        early, half = share(100.0), share(100.0 + ZONE_RAMP_S / 2)
+        late = share(100.0 + ZONE_RAMP_S)
+        assert early <= 0.1 < half < late
+        assert late >= 0.25
+
+
+class TestHostileInput:
+    @given(st.binary(max_size=1600))
+    def test_random_datagrams_are_dropped_or_first(self, datagram):
+        decision = _steering().decide(datagram, ORDERS, 0.0)
+        assert isinstance(decision, Drop) or decision.verdict is Verdict.TABLE
+
+    @given(st.binary(min_size=17, max_size=17), st.binary(max_size=1400))
+    def test_forged_connection_ids_are_dropped(self, connection_id, rest):
+        datagram = b"\x40" + connection_id + rest + b"x"
+        assert isinstance(_steering().decide(datagram, ORDERS, 0.0), Drop)
--- /dev/null
+++ b/plantainyoke/routing/tests/test_routing.py
@@ -0,0 +1,112 @@
+import os
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainyoke.routing import (
+    CONNECTION_ID_SIZE,
+    CandidateTable,
+    ConnectionIdCodec,
+    FirstPacket,
+    RoutedPacket,
+    RoutingKey,
+    Target,
+    UnroutablePacket,
+    parse_packet,
+    rank_by_rendezvous,
+)
+
+OLD, NEW = RoutingKey(0, b"a" * 16), RoutingKey(1, b"b" * 16)
+targets = st.builds(
+    Target,
+    st.integers(0, 2**48 - 1),
+    st.integers(0, 2**16 - 1),
+    st.integers(0, 2**32 - 1),
+)
+
+
+class TestConnectionIdCodec:
+    @given(targets)
+    def test_decodes_what_it_issues(self, target):
+        codec = ConnectionIdCodec([OLD])
+        connection_id = codec.issue(target)
+        assert len(connection_id) == CONNECTION_ID_SIZE
+        assert codec.decode(connection_id) == target
+
+    def test_ids_of_one_target_differ(self):
+        codec = ConnectionIdCodec([OLD])
+        target = Target(1, 2, 3)
+        assert len({codec.issue(target) for _ in range(100)}) == 100
+
+    def test_rotation_keeps_old_flows(self):
+        target = Target(1, 2, 3)
+        issued = ConnectionIdCodec([OLD]).issue(target)
+        assert ConnectionIdCodec([NEW, OLD]).decode(issued) == target
+        assert ConnectionIdCodec([NEW]).decode(issued) is None
+
+    @given(st.binary(max_size=25))
+    def test_any_bytes_decode_to_none_or_a_target(self, connection_id):
+        decoded = ConnectionIdCodec([OLD]).decode(connection_id)
+        assert decoded is None or isinstance(decoded, Target)
+
+
+class TestParsePacket:
+    @given(st.binary(max_size=2000))
+    def test_any_bytes_are_classified(self, datagram):
+        packet = parse_packet(datagram)
+        assert isinstance(packet, FirstPacket | RoutedPacket | UnroutablePacket)
+
+    @given(st.binary(min_size=8, max_size=20), st.binary(max_size=200))
+    def test_initial_with_token(self, connection_id, token):
+        header = b"\xc0\x00\x00\x00\x01" + bytes([len(connection_id)]) + connection_id
+        length = (0x4000 | len(token)).to_bytes(2, "big")
+        datagram = (header + b"\x00" + length + token).ljust(1200, b"\0")
+        assert parse_packet(datagram) == FirstPacket(connection_id, token)
+
+    def test_zero_rtt_is_refused(self):
+        datagram = (b"\xd0\x00\x00\x00\x01\x08" + os.urandom(8)).ljust(1200, b"\0")
+        assert parse_packet(datagram) == UnroutablePacket("zero_rtt")
+
+    def test_small_initial_is_refused(self):
+        datagram = (b"\xc0\x00\x00\x00\x01\x08" + os.urandom(8)).ljust(1199, b"\0")
+        assert parse_packet(datagram) == UnroutablePacket("small_initial")
+
+
+class TestCandidateTable:
+    @given(st.sets(st.integers(0, 2**48 - 1), min_size=1, max_size=40), st.binary())
+    def test_order_of_input_does_not_matter(self, agents, key):
+        first = CandidateTable(sorted(agents))
+        second = CandidateTable(sorted(agents, reverse=True))
+        chosen = first.candidates(key)
+        assert chosen == second.candidates(key)
+        assert len(set(chosen)) == len(chosen)
+        assert set(chosen) <= agents
+
+    def test_spread_is_even(self):
+        agents = [number << 16 | 7000 for number in range(7)]
+        table = CandidateTable(agents)
+        counts = dict.fromkeys(agents, 0)
+        for number in range(14_000):
+            counts[table.candidates(number.to_bytes(8, "big"))[0]] += 1
+        assert max(counts.values()) / 2_000 <= 1.25
+
+    def test_removing_one_agent_moves_few_flows(self):
+        agents = [number << 16 | 7000 for number in range(10)]
+        before, after = CandidateTable(agents), CandidateTable(agents[:-1])
+        keys = [number.to_bytes(8, "big") for number in range(2_000)]
+        moved = sum(
+            before.candidates(key)[0] != after.candidates(key)[0] for key in keys
+        )
+        assert moved / len(keys) <= 0.3
+
+    def test_empty(self):
+        assert CandidateTable([]).candidates(b"key") == []
+
+
+class TestRendezvous:
+    @given(st.sets(st.binary(min_size=1, max_size=6), min_size=2), st.binary())
+    def test_removing_a_member_keeps_the_order_of_the_others(self, members, key):
+        ranked = rank_by_rendezvous(key, members)
+        gone = ranked[len(ranked) // 2]
+        rest = rank_by_rendezvous(key, members - {gone})
+        assert rest == [member for member in ranked if member != gone]
