--- /dev/null
+++ b/plantainyoke/limits/tests/test_limits.py
@@ -0,0 +1,211 @@
+import asyncio
+import random
+
+import looptime
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainyoke.limits import (
+    AdaptiveLimit,
+    Admission,
+    DecayingRate,
+    Refusal,
+    RefusalReason,
+    RetryBudget,
+    TokenBucket,
+    full_jitter_backoff,
+)
+
+FLOOR, CEILING, WARM_UP = 1, 8, 20
+
+
+def run_virtual(coroutine):
+    """Run a coroutine on virtual time."""
+    loop = looptime.new_event_loop(start=0)
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
+def _limit() -> AdaptiveLimit:
+    return AdaptiveLimit(FLOOR, CEILING, warm_up_requests=WARM_UP)
+
+
+def _warm_limit() -> AdaptiveLimit:
+    limit = _limit()
+    while limit.value < CEILING:
+        limit.record_success(0.01)
+    return limit
+
+
+class TestAdaptiveLimit:
+    def test_stays_at_the_floor_during_warm_up(self):
+        limit = _limit()
+        for _ in range(WARM_UP - 1):
+            limit.record_success(0.01)
+            assert limit.value == FLOOR
+        limit.record_success(0.01)
+        assert limit.value == FLOOR + 1
+
+    @pytest.mark.parametrize(
+        "signs",
+        [
+            ["failure", "failure"],
+            ["unreachable"],
+            ["slow", "slow"],
+        ],
+    )
+    def test_signs_of_a_cold_start_return_to_the_floor(self, signs):
+        limit = _warm_limit()
+        for sign in signs:
+            if sign == "slow":
+                limit.record_success(0.5)
+            else:
+                getattr(limit, f"record_{sign}")()
+        assert limit.value == FLOOR
+        assert limit.is_cold
+
+    def test_one_slow_answer_is_not_a_cold_start(self):
+        limit = _warm_limit()
+        limit.record_success(0.5)
+        limit.record_success(0.01)
+        limit.record_success(0.5)
+        assert limit.value == CEILING
+
+    @given(st.lists(st.sampled_from(["success", "slow", "shed", "failure", "gone"])))
+    def test_always_between_floor_and_ceiling(self, signs):
+        limit = _limit()
+        for sign in signs:
+            if sign in ("success", "slow"):
+                limit.record_success(0.01 if sign == "success" else 1.0)
+            elif sign == "gone":
+                limit.record_unreachable()
+            else:
+                getattr(limit, f"record_{sign}")()
+            assert FLOOR <= limit.value <= CEILING
+
+
+class TestAdmission:
+    def test_never_more_in_flight_than_the_limit(self):
+        async def scenario():
+            limit = AdaptiveLimit(2, 2)
+            admission = Admission(limit)
+            most = 0
+
+            async def work():
+                nonlocal most
+                await admission.acquire(100.0)
+                most = max(most, admission.in_flight)
+                await asyncio.sleep(1.0)
+                admission.release()
+
+            await asyncio.gather(*(work() for _ in range(10)))
+            assert most == 2
+            assert asyncio.get_running_loop().time() == pytest.approx(5.0)
+
+        run_virtual(scenario())
+
+    def test_expired_work_never_starts(self):
+        async def scenario():
+            admission = Admission(AdaptiveLimit(1, 1))
+            await admission.acquire(100.0)
+            with pytest.raises(Refusal) as refusal:
+                await admission.acquire(3.0)
+            assert refusal.value.reason is RefusalReason.DEADLINE_EXPIRED
+            assert asyncio.get_running_loop().time() == pytest.approx(3.0)
+            admission.release()
+            assert admission.in_flight == 0
+
+        run_virtual(scenario())
+
+    def test_full_queue_refuses(self):
+        async def scenario():
+            admission = Admission(AdaptiveLimit(1, 1))
+            await admission.acquire(100.0)
+            waiting = [
+                asyncio.ensure_future(admission.acquire(100.0))
+                for _ in range(admission.queue_capacity)
+            ]
+            await asyncio.sleep(0)
+            with pytest.raises(Refusal) as refusal:
+                await admission.acquire(100.0)
+            assert refusal.value.reason is RefusalReason.QUEUE_FULL
+            for task in waiting:
+                task.cancel()
+            await asyncio.gather(*waiting, return_exceptions=True)
+            assert not admission.waiters
+
+        run_virtual(scenario())
+
+    @given(
+        st.lists(
+            st.tuples(st.floats(0, 5), st.floats(0.01, 3), st.floats(0.01, 3)),
+            max_size=25,
+        )
+    )
+    def test_slots_balance_under_cancellation_and_deadlines(self, jobs):
+        """Whatever is cancelled or expires, no slot is lost or given twice."""
+
+        async def scenario():
+            admission = Admission(AdaptiveLimit(2, 2))
+            loop = asyncio.get_running_loop()
+
+            async def work(start, patience, length):
+                await asyncio.sleep(start)
+                try:
+                    await admission.acquire(loop.time() + patience)
+                except Refusal:
+                    return
+                try:
+                    assert admission.in_flight <= 2
+                    await asyncio.sleep(length)
+                finally:
+                    admission.release()
+
+            tasks = [asyncio.ensure_future(work(*job)) for job in jobs]
+            await asyncio.sleep(2.5)
+            for task in tasks[::3]:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            assert admission.in_flight == 0
+            assert not admission.waiters
+
+        run_virtual(scenario())
+
+
+class TestRetryBudget:
+    @given(st.lists(st.booleans(), max_size=300))
+    def test_retries_stay_within_the_budget(self, wants):
+        budget = RetryBudget(deposit=0.1, capacity=10.0, initial=3.0)
+        retries = 0
+        for wants_retry in wants:
+            budget.record_request()
+            retries += wants_retry and budget.try_spend()
+        assert retries <= 3.0 + 0.1 * len(wants) + 1e-6
+
+    @given(st.integers(0, 30), st.integers())
+    def test_backoff_is_bounded_and_after_retry_after(self, attempt, seed):
+        delay = full_jitter_backoff(attempt, random.Random(seed), minimum_s=0.5)
+        assert 0.5 <= delay <= 2.5
+
+
+class TestTokenBucket:
+    @given(st.lists(st.floats(0, 0.5), max_size=200))
+    def test_rate_is_kept(self, gaps):
+        bucket = TokenBucket(rate_per_s=10, burst=5, now=0.0)
+        now, taken = 0.0, 0
+        for gap in gaps:
+            now += gap
+            taken += bucket.try_take(now)
+        assert taken <= 5 + 10 * now + 1e-6
+
+
+class TestDecayingRate:
+    def test_steady_events_read_as_their_rate(self):
+        rate = DecayingRate(0.0)
+        for step in range(1, 400):
+            rate.record(step * 0.05)
+        assert rate.read(20.0) == pytest.approx(20.0, rel=0.1)
+        assert rate.read(60.0) < 0.1
