Keep a large answer until those who wait have it; test records and membership

Cause: a large answer was dropped by a callback that ran before the waiting requests resumed, so the caller who asked first was told that its answer was not kept. Found by the new test of the records; large answers are now kept for 2 s.

The property test mixes sends, resumed questions, cancellations, failures and evictions over random schedules: no key runs twice.

--- a/plantainyoke/agent/_records.py
+++ b/plantainyoke/agent/_records.py
@@ -17,7 +17,8 @@
 )
 from plantainyoke.limits import Refusal, RefusalReason
 
-MAX_KEPT_ANSWER_SIZE = 262_144
+MAX_KEPT_ANSWER_SIZE = 262_144  # bytes; larger answers are kept only shortly
+LARGE_ANSWER_KEPT_S = 2.0
 
 Run = Callable[[Request], Awaitable[Answer]]
 
@@ -110,10 +111,6 @@
             raise
         return _result(record)
 
-    def detach(self, key: str) -> bool:
-        """Tell whether a keyed request goes on without its connection."""
-        return self.state_of(key) is RecordState.RUNNING
-
     def _find_or_start(self, request: Request, run: Run) -> Record:
         fingerprint = _fingerprint(request)
         record = self.records.get(request.key)
@@ -196,9 +193,8 @@
 def _keep_answer(record: Record, answer: Answer) -> None:
     record.answer = answer
     if len(answer.body) > MAX_KEPT_ANSWER_SIZE:
-        # Those who already wait get the answer; later questions do not.
         loop = asyncio.get_running_loop()
-        loop.call_soon(_drop_answer, record)
+        loop.call_later(LARGE_ANSWER_KEPT_S, _drop_answer, record)
 
 
 def _drop_answer(record: Record) -> None:
--- /dev/null
+++ b/plantainyoke/agent/tests/test_records.py
@@ -0,0 +1,204 @@
+import asyncio
+from collections import Counter
+
+import looptime
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainyoke.agent import (
+    Answer,
+    AnswerNotKeptError,
+    KeyReusedError,
+    OnceRecords,
+    OutcomeUnknownError,
+    RecordState,
+    Request,
+    Resume,
+)
+from plantainyoke.agent._records import LARGE_ANSWER_KEPT_S, MAX_KEPT_ANSWER_SIZE
+from plantainyoke.limits import Refusal, RefusalReason
+
+INCARNATION = 77
+
+
+def run_virtual(coroutine):
+    loop = looptime.new_event_loop(start=0)
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
+def _request(key: str, *, body: bytes = b"", resume: Resume | None = None) -> Request:
+    return Request("POST", "/orders", [], body, 1e9, key=key, resume=resume)
+
+
+def _records(capacity: int = 100, retention_s: float = 60.0) -> OnceRecords:
+    return OnceRecords(
+        incarnation=INCARNATION, capacity=capacity, retention_s=retention_s
+    )
+
+
+class Judge:
+    """An upstream whose behaviour is scripted and whose runs are counted."""
+
+    def __init__(self, outcomes=()) -> None:
+        self.runs: Counter[str] = Counter()
+        self.outcomes = list(outcomes)
+
+    async def run(self, request: Request) -> Answer:
+        outcome, seconds = self.outcomes.pop(0) if self.outcomes else ("answer", 0.1)
+        if outcome == "refuse":
+            raise Refusal(RefusalReason.QUEUE_FULL)
+        self.runs[request.key] += 1
+        await asyncio.sleep(seconds)
+        if outcome == "unknown":
+            raise OutcomeUnknownError("timeout")
+        return Answer(200, [], request.key.encode())
+
+
+keys = st.sampled_from("abcde")
+outcomes = st.lists(
+    st.tuples(st.sampled_from(["answer", "refuse", "unknown"]), st.floats(0, 20)),
+    max_size=40,
+)
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["send", "resume", "cancel", "wait"]), keys, st.floats(0, 90)
+    ),
+    max_size=40,
+)
+
+
+class TestAtMostOnce:
+    @given(steps, outcomes, st.integers(1, 4), st.floats(0.1, 30))
+    def test_no_interleaving_runs_a_key_twice(
+        self, schedule, script, capacity, retention_s
+    ):
+        """Sends, resumed questions, cancellations, evictions and failures mix.
+
+        A key is sent plainly once; later questions about it are resumed, as a
+        caller's are. Only a request that was refused may be sent again.
+        """
+
+        async def scenario():
+            records = _records(capacity, retention_s)
+            judge = Judge(script)
+            loop = asyncio.get_running_loop()
+            first_sent: dict[str, float] = {}
+            tasks: list[asyncio.Task] = []
+            for action, key, seconds in schedule:
+                if action == "wait":
+                    await asyncio.sleep(seconds)
+                    continue
+                if action == "cancel":
+                    for task in tasks[-1:]:
+                        task.cancel()
+                    await asyncio.sleep(0)
+                    continue
+                resume = None
+                if key in first_sent:
+                    resume = Resume(INCARNATION, first_sent[key] - 0.001)
+                elif action == "resume":
+                    continue
+                first_sent.setdefault(key, loop.time())
+                request = _request(key, resume=resume)
+                tasks.append(loop.create_task(records.run(request, judge.run)))
+                await asyncio.sleep(0)
+            await asyncio.gather(*tasks, return_exceptions=True)
+            assert max(judge.runs.values(), default=0) <= 1
+            for task in tasks:
+                if not task.cancelled() and isinstance(task.exception(), Refusal):
+                    assert len(records.records) <= capacity
+
+        run_virtual(scenario())
+
+    def test_refused_request_may_run_later(self):
+        async def scenario():
+            records, judge = _records(), Judge([("refuse", 0), ("answer", 0)])
+            with pytest.raises(Refusal):
+                await records.run(_request("a"), judge.run)
+            assert records.state_of("a") is RecordState.NOT_RUN
+            answer = await records.run(_request("a"), judge.run)
+            assert answer.body == b"a"
+            assert judge.runs == {"a": 1}
+
+        run_virtual(scenario())
+
+    def test_second_connection_joins_the_run_in_progress(self):
+        async def scenario():
+            records, judge = _records(), Judge()
+            answers = await asyncio.gather(
+                *(records.run(_request("a"), judge.run) for _ in range(5))
+            )
+            assert {answer.body for answer in answers} == {b"a"}
+            assert judge.runs == {"a": 1}
+
+        run_virtual(scenario())
+
+    def test_other_incarnation_is_unknown(self):
+        async def scenario():
+            records, judge = _records(), Judge()
+            request = _request("a", resume=Resume(INCARNATION + 1, 0.0))
+            with pytest.raises(OutcomeUnknownError, match="agent_restarted"):
+                await records.run(request, judge.run)
+            assert not judge.runs
+
+        run_virtual(scenario())
+
+    def test_evicted_record_is_unknown(self):
+        async def scenario():
+            records, judge = _records(capacity=1), Judge()
+            await asyncio.sleep(1.0)
+            await records.run(_request("a"), judge.run)
+            await records.run(_request("b"), judge.run)
+            assert records.state_of("a") is None
+            with pytest.raises(OutcomeUnknownError, match="record_evicted"):
+                await records.run(
+                    _request("a", resume=Resume(INCARNATION, 0.9)), judge.run
+                )
+            assert judge.runs["a"] == 1
+
+        run_virtual(scenario())
+
+    def test_never_seen_may_run_although_older_records_were_evicted(self):
+        async def scenario():
+            records, judge = _records(capacity=1), Judge()
+            await records.run(_request("a"), judge.run)
+            await records.run(_request("b"), judge.run)
+            await asyncio.sleep(5.0)
+            request = _request("c", resume=Resume(INCARNATION, 4.0))
+            assert (await records.run(request, judge.run)).body == b"c"
+
+        run_virtual(scenario())
+
+    def test_key_of_another_request_is_refused(self):
+        async def scenario():
+            records, judge = _records(), Judge()
+            await records.run(_request("a", body=b"span 7"), judge.run)
+            with pytest.raises(KeyReusedError):
+                await records.run(_request("a", body=b"span 8"), judge.run)
+            assert judge.runs == {"a": 1}
+
+        run_virtual(scenario())
+
+    def test_large_answer_goes_to_who_waits_and_is_not_kept(self):
+        async def scenario():
+            records = _records()
+            runs = 0
+
+            async def run(request):
+                nonlocal runs
+                runs += 1
+                await asyncio.sleep(0.1)
+                return Answer(200, [], b"x" * (MAX_KEPT_ANSWER_SIZE + 1))
+
+            answer = await records.run(_request("a"), run)
+            assert len(answer.body) > MAX_KEPT_ANSWER_SIZE
+            await asyncio.sleep(LARGE_ANSWER_KEPT_S + 1.0)
+            with pytest.raises(AnswerNotKeptError):
+                await records.run(_request("a"), run)
+            assert runs == 1
+
+        run_virtual(scenario())
