Let a keyed request go on when the relay's link breaks

Cause: closing a link cancelled everything that it served, also the keyed run that the peer would ask for again; the upstream's request was cut and the caller got an unknown outcome. Callers' connections already made that distinction.

A relayed unknown outcome names its cause.

--- a/plantainyoke/agent/_relay.py
+++ b/plantainyoke/agent/_relay.py
@@ -234,7 +234,7 @@
             refusal.reason.value, not_run=True, retry_after_s=refusal.retry_after_s
         )
     except RequestError as error:
-        sink.fail(type(error).__name__, not_run=False)
+        sink.fail(str(error) or type(error).__name__, not_run=False)
 
 
 def _raise_failure(failure: dict, sink: Sink) -> None:
--- a/plantainyoke/node/_links.py
+++ b/plantainyoke/node/_links.py
@@ -55,6 +55,7 @@
         self.numbers = itertools.count(1)
         self.answers: dict[int, asyncio.Queue] = {}
         self.serving: dict[int, asyncio.Task] = {}
+        self.keyed: set[int] = set()
         self.is_closed = False
 
     def new_frame(self):
@@ -94,15 +95,20 @@
             self.close()
 
     def close(self) -> None:
-        """Close the link and fail every open request."""
+        """Close the link and fail every open request.
+
+        Work that is being served without an idempotency key is cancelled. Keyed
+        work goes on, so that the peer can ask for it again on a new link.
+        """
         if self.is_closed:
             return
         self.is_closed = True
         self.writer.close()
         for queue in self.answers.values():
             queue.put_nowait(None)
-        for task in list(self.serving.values()):
-            task.cancel()
+        for number, task in list(self.serving.items()):
+            if number not in self.keyed:
+                task.cancel()
 
     def _dispatch(self, frame: dict) -> None:
         for kind in ("responseHead", "responseData", "failure", "document"):
@@ -122,7 +128,13 @@
         number = frame["request"]["id"] if "request" in frame else id(frame)
         task = asyncio.get_running_loop().create_task(self.serve(self, frame))
         self.serving[number] = task
-        task.add_done_callback(lambda _: self.serving.pop(number, None))
+        if frame.get("request", {}).get("key"):
+            self.keyed.add(number)
+        task.add_done_callback(lambda _: self._forget(number))
+
+    def _forget(self, number: int) -> None:
+        self.serving.pop(number, None)
+        self.keyed.discard(number)
 
 
 def _answer_number(frame: dict, kind: str) -> int:
--- /dev/null
+++ b/plantainyoke/tests/test_failures.py
@@ -0,0 +1,591 @@
+"""What must always hold, while something fails."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from plantainyoke.caller import (
+    AnswerCutError,
+    CallerError,
+    OutcomeUnknownError,
+    RefusedError,
+)
+from plantainyoke.standins import EmbeddedFleet, FleetPlan, ServicePlan, UpstreamOptions
+
+LEFT_AFTER_S = 5.0  # a silent path is left within this
+SLOW_S = 0.6
+
+
+def _plan(network: str, *, targets: int = 3, **options) -> FleetPlan:
+    upstream = UpstreamOptions(**{"warm_after": 1, **options})
+    services = (
+        ServicePlan("orders", targets, upstream),
+        ServicePlan("drawings", 2, upstream),
+    )
+    return FleetPlan(network, services=services)
+
+
+def _runs(fleet: EmbeddedFleet, service: str = "orders") -> Counter:
+    runs: Counter = Counter()
+    for upstream in fleet.upstreams_of(service):
+        runs.update(upstream.runs)
+    return runs
+
+
+async def _owner(fleet: EmbeddedFleet, session) -> str:
+    """Return the name of the agent that a session is connected to."""
+    connection = await session.connection()
+    for name, member in fleet.members.items():
+        role = member.role
+        if getattr(role, "incarnation", None) == connection.incarnation:
+            return name
+    raise AssertionError("no agent owns the connection")
+
+
+async def _outcome(request) -> str:
+    try:
+        await request
+    except RefusedError:
+        return "not_run"
+    except OutcomeUnknownError:
+        return "unknown"
+    return "answered"
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize("moment_s", [0.0, SLOW_S / 2, SLOW_S * 1.5])
+    def test_agent_killed_before_during_and_after_the_run(
+        self, run, network, tmp_path, moment_s
+    ):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                async with fleet.session("orders") as session:
+                    name = await _owner(fleet, session)
+                    fleet.upstreams[name].slow_next_s = SLOW_S
+                    task = asyncio.create_task(
+                        _outcome(
+                            session.request("POST", "/orders", key="a", timeout_s=6.0)
+                        )
+                    )
+                    await asyncio.sleep(moment_s)
+                    await fleet.kill(name)
+                    outcome = await task
+                    runs = _runs(fleet)
+                    assert runs["a"] <= 1
+                    if outcome == "answered":
+                        assert runs["a"] == 1
+                    if outcome == "not_run":
+                        assert runs["a"] == 0
+                    if moment_s > SLOW_S:
+                        assert outcome == "answered"
+
+        run(scenario())
+
+    def test_request_in_flight_on_a_silent_path_is_joined(self, run, network, tmp_path):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                loop = asyncio.get_running_loop()
+                async with fleet.session("orders") as session:
+                    name = await _owner(fleet, session)
+                    fleet.upstreams[name].slow_next_s = SLOW_S
+                    task = asyncio.create_task(
+                        session.request("POST", "/orders", key="a", timeout_s=20.0)
+                    )
+                    await asyncio.sleep(SLOW_S / 3)
+                    fabric = fleet.fabrics["orders"]
+                    fabric.silenced.update(fabric.sockets)
+                    silenced_at = loop.time()
+                    answer = await task
+                    assert answer.status == 200
+                    assert loop.time() - silenced_at <= LEFT_AFTER_S
+                    assert session.metrics.counters["request.resumed"] >= 1
+                assert _runs(fleet) == {"a": 1}
+
+        run(scenario())
+
+    def test_request_lost_on_a_silent_path_runs_once(self, run, network, tmp_path):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                async with fleet.session("orders") as session:
+                    await session.connection()
+                    fabric = fleet.fabrics["orders"]
+                    fabric.silenced.update(fabric.sockets)
+                    await session.request("POST", "/orders", key="a", timeout_s=20.0)
+                assert _runs(fleet) == {"a": 1}
+
+        run(scenario())
+
+    def test_late_packets_of_a_fenced_connection_run_nothing(
+        self, run, network, tmp_path
+    ):
+        """The request is held back, asked for again, run, and then arrives."""
+
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                fabric = fleet.fabrics["orders"]
+                async with fleet.session("orders") as session:
+                    await session.request("POST", "/orders", key="first")
+                    held = _hold_back(fabric)
+                    answer = await session.request(
+                        "POST", "/orders", key="a", timeout_s=20.0
+                    )
+                    assert answer.status == 200
+                    assert held.datagrams
+                    held.release()
+                    await asyncio.sleep(0.5)
+                assert _runs(fleet)["a"] == 1
+
+        run(scenario())
+
+    def test_lost_link_of_a_relay_is_asked_again(self, run, network, tmp_path):
+        async def scenario():
+            plan = _plan(network, targets=2)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                async with fleet.session("orders") as session:
+                    name = await _owner(fleet, session)
+                    agent = fleet.members[name].role
+                    other = next(n for n in ("orders-0", "orders-1") if n != name)
+                    # The local upstream leaves, so that requests are relayed.
+                    fleet.upstreams[name].start_draining()
+                    agent.upstream.is_draining = True
+                    await asyncio.sleep(0.6)
+                    fleet.upstreams[other].slow_next_s = SLOW_S
+                    connection = session.current
+                    connection.retiring.clear()
+                    task = asyncio.create_task(
+                        session.request("POST", "/orders", key="a", timeout_s=10.0)
+                    )
+                    await asyncio.sleep(SLOW_S / 2)
+                    for link in agent.node.links.links.values():
+                        link.close()
+                    answer = await task
+                    assert answer.status == 200
+                assert _runs(fleet) == {"a": 1}
+
+        run(scenario())
+
+    def test_same_key_raced_on_two_connections(self, run, network, tmp_path):
+        async def scenario():
+            plan = _plan(network, targets=1)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                sessions = [fleet.session("orders", seed=i) for i in range(3)]
+                answers = await asyncio.gather(
+                    *(item.request("POST", "/orders", key="a") for item in sessions)
+                )
+                assert {answer.status for answer in answers} == {200}
+                assert _runs(fleet) == {"a": 1}
+                for session in sessions:
+                    await session.aclose()
+
+        run(scenario())
+
+
+class TestNotRun:
+    def test_every_refusal_is_true_when_half_of_the_upstreams_refuse(
+        self, run, network, tmp_path
+    ):
+        async def scenario():
+            plan = _plan(network, targets=4)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                upstreams = fleet.upstreams_of("orders")
+                for upstream in upstreams[:2]:
+                    upstream.refuse_share = 1.0
+                sessions = [fleet.session("orders", seed=i) for i in range(8)]
+                refused = set()
+                offered = 0
+
+                async def send(number, session):
+                    nonlocal offered
+                    for count in range(15):
+                        key = f"{number}-{count}"
+                        offered += 1
+                        try:
+                            await session.request("POST", "/orders", key=key)
+                        except RefusedError:
+                            refused.add(key)
+
+                await asyncio.gather(*(send(*item) for item in enumerate(sessions)))
+                runs = _runs(fleet)
+                assert not refused & runs.keys()
+                assert max(runs.values()) == 1
+                # Initial tokens of four agents and eight sessions, then 10%.
+                attempts = sum(item.shed for item in upstreams) + runs.total()
+                spare = 3 * (4 + 8)
+                assert attempts <= 1.1 * offered + spare
+                for session in sessions:
+                    await session.aclose()
+
+        run(scenario())
+
+    def test_unreachable_upstream_is_not_run_or_served_by_a_sibling(
+        self, run, network, tmp_path
+    ):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                async with fleet.session("orders") as session:
+                    name = await _owner(fleet, session)
+                    await fleet.kill_upstream(name)
+                    for number in range(10):
+                        await session.request("POST", "/orders", key=f"{number}")
+                    assert session.metrics.counters["connect.opened"] <= 2
+                runs = _runs(fleet)
+                assert len(runs) == 10
+                assert max(runs.values()) == 1
+
+        run(scenario())
+
+    def test_expired_work_is_never_started(self, run, network, tmp_path):
+        async def scenario():
+            plan = _plan(network, targets=1, slots=1)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                upstream = fleet.upstreams["orders-0"]
+                async with fleet.session("orders") as session:
+                    upstream.slow_next_s = 1.0
+                    slow = asyncio.create_task(
+                        session.request("POST", "/orders", key="slow")
+                    )
+                    await asyncio.sleep(0.2)
+                    with pytest.raises(CallerError):
+                        await session.request(
+                            "POST", "/orders", key="late", timeout_s=0.3
+                        )
+                    await slow
+                    await asyncio.sleep(0.5)
+                assert upstream.runs == {"slow": 1}
+                assert 0 < upstream.deadlines[0] <= 10_000
+
+        run(scenario())
+
+    def test_cancellation_reaches_the_upstream(self, run, network, tmp_path):
+        async def scenario():
+            plan = _plan(network, targets=1)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                upstream = fleet.upstreams["orders-0"]
+                async with fleet.session("orders") as session:
+                    await session.connection()
+                    upstream.slow_next_s = 5.0
+                    task = asyncio.create_task(session.request("GET", "/status"))
+                    await asyncio.sleep(0.3)
+                    task.cancel()
+                    await asyncio.gather(task, return_exceptions=True)
+                    await asyncio.sleep(0.3)
+                assert upstream.cancelled == 1
+                assert upstream.in_flight == 0
+
+        run(scenario())
+
+
+class TestWholeAnswers:
+    def test_cut_answer_is_never_a_short_success(self, run, network, tmp_path):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                for upstream in fleet.upstreams_of("drawings"):
+                    upstream.cut_next = 100
+                async with fleet.session("drawings") as session:
+                    with pytest.raises(AnswerCutError):
+                        await session.request("GET", "/drawings/500000/x")
+                for upstream in fleet.upstreams_of("drawings"):
+                    upstream.cut_next = 0
+                async with fleet.session("drawings") as session:
+                    answer = await session.request("GET", "/drawings/500000/x")
+                assert answer.body == b"x" * 500_000
+
+        run(scenario())
+
+    def test_interleaved_answers_reach_their_own_requests(self, run, network, tmp_path):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                fabric = fleet.fabrics["drawings"]
+                fabric.loss, fabric.jitter_s = 0.02, 0.02
+                async with fleet.session("drawings") as session:
+                    letters = "abcdefgh"
+                    answers = await asyncio.gather(
+                        *(
+                            session.request(
+                                "GET", f"/drawings/40000/{letter}", timeout_s=30.0
+                            )
+                            for letter in letters
+                        )
+                    )
+                for letter, answer in zip(letters, answers, strict=True):
+                    assert answer.body == letter.encode() * 40_000
+
+        run(scenario())
+
+
+class TestColdStart:
+    def test_all_cold_together_still_start_and_none_is_overrun(
+        self, run, network, tmp_path
+    ):
+        async def scenario():
+            plan = _plan(network, targets=3, warm_after=10)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                sessions = [fleet.session("orders", seed=i) for i in range(9)]
+                await asyncio.gather(
+                    *(
+                        session.request("POST", "/orders", key=f"{i}-{n}")
+                        for n in range(6)
+                        for i, session in enumerate(sessions)
+                    )
+                )
+                upstreams = fleet.upstreams_of("orders")
+                assert sum(item.served for item in upstreams) == 54
+                assert [item.overruns for item in upstreams] == [0, 0, 0]
+                for session in sessions:
+                    await session.aclose()
+
+        run(scenario())
+
+    def test_surprise_is_noticed_after_what_was_in_flight(self, run, network, tmp_path):
+        async def scenario():
+            plan = _plan(network, targets=2, warm_after=10, service_time_s=0.02)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                sessions = [fleet.session("orders", seed=i) for i in range(8)]
+
+                async def send(number, session, rounds):
+                    for count in range(rounds):
+                        await session.request(
+                            "POST", "/orders", key=f"{number}-{rounds}-{count}"
+                        )
+
+                await asyncio.gather(*(send(i, s, 30) for i, s in enumerate(sessions)))
+                upstream = fleet.upstreams["orders-0"]
+                assert upstream.overruns == 0
+                upstream.turn_cold()
+                await asyncio.gather(*(send(i, s, 31) for i, s in enumerate(sessions)))
+                # What is sent before the first answer comes back is unavoidable.
+                assert upstream.overruns <= upstream.options.slots
+                for session in sessions:
+                    await session.aclose()
+
+        run(scenario())
+
+    def test_misleading_health_does_not_matter(self, run, network, tmp_path):
+        async def scenario():
+            plan = _plan(network, targets=2, warm_after=10, is_misleading=True)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                sessions = [fleet.session("orders", seed=i) for i in range(6)]
+                await asyncio.gather(
+                    *(
+                        session.request("POST", "/orders", key=f"{i}-{n}")
+                        for n in range(5)
+                        for i, session in enumerate(sessions)
+                    )
+                )
+                assert not any(item.overruns for item in fleet.upstreams.values())
+                for session in sessions:
+                    await session.aclose()
+
+        run(scenario())
+
+
+class TestLeaving:
+    def test_stopping_agent_cuts_no_request_and_no_event(self, run, network, tmp_path):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                async with fleet.session("orders") as session:
+                    seen: list[int] = []
+
+                    async def watch():
+                        async for event in session.watch("/events"):
+                            seen.append(int(event.id))
+
+                    watching = asyncio.create_task(watch())
+                    name = await _owner(fleet, session)
+                    fleet.upstreams[name].slow_next_s = SLOW_S
+                    in_flight = asyncio.create_task(
+                        session.request("POST", "/orders", key="in-flight")
+                    )
+                    await asyncio.sleep(SLOW_S / 2)
+                    stopping = asyncio.create_task(fleet.stop(name))
+                    assert (await in_flight).status == 200
+                    for number in range(10):
+                        await session.request("POST", "/orders", key=f"{number}")
+                    await stopping
+                    await asyncio.sleep(0.5)
+                    watching.cancel()
+                    assert len(seen) > 5
+                    assert seen == list(range(seen[0], seen[0] + len(seen)))
+                    assert session.metrics.counters["connection.moved"] >= 1
+                    assert session.metrics.counters["connection.lost"] == 0
+                runs = _runs(fleet)
+                assert len(runs) == 11
+                assert max(runs.values()) == 1
+
+        run(scenario())
+
+    def test_draining_upstream_gets_no_new_work(self, run, network, tmp_path):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                sessions = [fleet.session("orders", seed=i) for i in range(6)]
+                for number, session in enumerate(sessions):
+                    await session.request("POST", "/orders", key=f"before-{number}")
+                leaving = fleet.upstreams["orders-0"]
+                leaving.start_draining()
+                for count in range(12):
+                    for number, session in enumerate(sessions):
+                        await session.request(
+                            "POST", "/orders", key=f"{count}-{number}"
+                        )
+                    await asyncio.sleep(0.35)
+                assert leaving.work_after_drain == 0
+                assert len(_runs(fleet)) == 13 * 6
+                for session in sessions:
+                    await session.aclose()
+
+        run(scenario())
+
+    def test_half_of_the_fleet_stopped_together(self, run, network, tmp_path):
+        async def scenario():
+            plan = _plan(network, targets=4)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                sessions = [fleet.session("orders", seed=i) for i in range(6)]
+                outcomes: Counter = Counter()
+                stopped = asyncio.Event()
+
+                async def send(number, session):
+                    count = 0
+                    while not stopped.is_set():
+                        count += 1
+                        request = session.request(
+                            "POST", "/orders", key=f"{number}-{count}"
+                        )
+                        outcomes[await _outcome(request)] += 1
+                        await asyncio.sleep(0.02)
+
+                tasks = [
+                    asyncio.create_task(send(*item)) for item in enumerate(sessions)
+                ]
+                await asyncio.sleep(0.5)
+                fleet.spray_over([1])
+                await asyncio.gather(
+                    fleet.stop("orders-0"),
+                    fleet.stop("orders-1"),
+                    fleet.stop("balancer-0"),
+                )
+                await asyncio.sleep(0.5)
+                stopped.set()
+                await asyncio.gather(*tasks)
+                assert set(outcomes) == {"answered"}
+                assert len(_runs(fleet)) == outcomes["answered"]
+                for session in sessions:
+                    await session.aclose()
+
+        run(scenario())
+
+
+class TestDeadTargets:
+    def test_dead_agent_gets_no_new_flow_after_two_seconds(
+        self, run, network, tmp_path
+    ):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                await asyncio.sleep(1.0)
+                dead = fleet.members["orders-0"].role.node.address
+                await fleet.kill("orders-0")
+                await asyncio.sleep(2.0)
+                for balancer in fleet.balancers():
+                    service = balancer.node.snapshot.services[
+                        fleet.agents_of("orders")[0].service_id
+                    ]
+                    now = asyncio.get_running_loop().time()
+                    for number in range(200):
+                        key = number.to_bytes(8, "big")
+                        assert dead not in balancer.steering.candidates(
+                            key, service, now
+                        )
+
+        run(scenario())
+
+    def test_partition_serves_on_both_sides_and_heals(self, run, network, tmp_path):
+        async def scenario():
+            plan = FleetPlan(
+                network,
+                zones=("west", "east"),
+                balancers=2,
+                services=(ServicePlan("orders", 4, UpstreamOptions(warm_after=1)),),
+            )
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                nodes = [member.role.node for member in fleet.members.values()]
+                originals = [node.allows for node in nodes]
+                for node in nodes:
+                    _cut_off_other_zones(node)
+                await asyncio.sleep(3.0)
+                for side in (0, 1):
+                    fleet.spray_over([side])
+                    for number in range(4):
+                        async with fleet.session("orders", seed=number) as session:
+                            await session.request(
+                                "POST", "/orders", key=f"{side}-{number}"
+                            )
+                for node, original in zip(nodes, originals, strict=True):
+                    node.send = type(node).send.__get__(node)
+                    node.links.allows = original
+                generation = fleet.publish()
+                await fleet.wait_generation(generation)
+                async with asyncio.timeout(5.0):
+                    while any(
+                        balancer.detector.suspects() for balancer in fleet.balancers()
+                    ):
+                        await asyncio.sleep(0.1)
+                assert max(_runs(fleet).values()) == 1
+
+        run(scenario())
+
+    def test_process_that_was_paused_condemns_nobody(self, run, network, tmp_path):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network), tmp_path) as fleet:
+                await asyncio.sleep(1.0)
+                balancer = fleet.balancers()[0]
+                balancer.node.pauses.last_tick -= 60.0
+                for belief in balancer.detector.beliefs.values():
+                    belief.probe_sent_at = 1.0
+                    belief.probes = 10
+                await asyncio.sleep(1.0)
+                assert not balancer.detector.suspects()
+                assert balancer.node.metrics.counters["process.paused"] == 1
+
+        run(scenario())
+
+
+class Held:
+    """Datagrams of a caller that are held back."""
+
+    def __init__(self, fabric) -> None:
+        self.fabric = fabric
+        self.datagrams: list[tuple] = []
+        self.known = set(fabric.sockets)
+
+    def release(self) -> None:
+        """Deliver what was held back."""
+        for sender, datagram, to in self.datagrams:
+            sender.send(datagram, to)
+
+
+def _hold_back(fabric) -> Held:
+    """Hold back what callers known so far send; answers are lost."""
+    held = Held(fabric)
+    held_sockets = {id(fabric.sockets[caller]) for caller in held.known}
+    send = fabric._send
+
+    def hold(sender, datagram, to):
+        if id(sender) in held_sockets:
+            held.datagrams.append((sender, datagram, to))
+        elif to not in held.known:
+            send(sender, datagram, to)
+
+    fabric._send = hold
+    return held
+
+
+def _cut_off_other_zones(node) -> None:
+    send = type(node).send.__get__(node)
+
+    def send_within_zone(datagram, peer, kind):
+        if node.zone_of(peer) not in (None, node.zone):
+            return False
+        return send(datagram, peer, kind)
+
+    node.send = send_within_zone
+    node.links.allows = lambda peer: node.zone_of(peer) in (None, node.zone)
