Keep golden transcripts of four whole sessions

An order session through a drain, a download through a balancer's death, a spec that is refused and retried, and an unknown outcome: what the caller saw, what the logs say and what explain answers. An answer that only reports an outcome is logged with its key and cause.

--- a/plantainyoke/agent/_connection.py
+++ b/plantainyoke/agent/_connection.py
@@ -321,6 +321,13 @@
         retry_after_s: float | None = None,
     ) -> None:
         """Send an answer that only says how the request ended (RFC 9209)."""
+        request = self.requests.get(stream_id)
+        log_event(
+            "request_not_answered",
+            outcome=outcome,
+            cause=cause,
+            key=request.key if request else None,
+        )
         if self.is_closed:
             return
         headers = [
--- /dev/null
+++ b/plantainyoke/tests/test_golden.py
@@ -0,0 +1,182 @@
+"""Whole sessions as an operator would read them from logs and ``explain``."""
+
+import asyncio
+import logging
+
+from plantainyoke.caller import CallerError
+from plantainyoke.standins import EmbeddedFleet, FleetPlan, ServicePlan, UpstreamOptions
+from plantainyoke.telemetry import get_logger
+
+TOLD_EVENTS = {
+    "agent_draining",
+    "agent_stopped",
+    "balancer_draining",
+    "leaving",
+    "request_not_answered",
+    "returned",
+    "zone_out_of_service",
+}
+FIELDS = ("outcome", "cause", "key", "requests_cut")
+
+
+class Transcript(logging.Handler):
+    """Collects what a session and the logs tell, without times and ports."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def __enter__(self) -> "Transcript":
+        get_logger().addHandler(self)
+        get_logger().setLevel("INFO")
+        return self
+
+    def __exit__(self, *details) -> None:
+        get_logger().removeHandler(self)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        if record.getMessage() not in TOLD_EVENTS:
+            return
+        fields = [
+            f"{name}={getattr(record, name)}"
+            for name in FIELDS
+            if getattr(record, name, None) is not None
+        ]
+        self.lines.append(" ".join(["log", record.getMessage(), *fields]))
+
+    def note(self, *words) -> None:
+        self.lines.append(" ".join(str(word) for word in words))
+
+    async def request(self, session, method: str, path: str, **arguments) -> None:
+        try:
+            answer = await session.request(method, path, **arguments)
+        except CallerError as error:
+            ended = f"{type(error).__name__}: {error}"
+        else:
+            ended = f"{answer.status} {len(answer.body)} bytes"
+        self.note("caller", method, path, arguments.get("key", ""), "->", ended)
+
+    def explain(self, fleet: EmbeddedFleet, key: str) -> None:
+        answers = [
+            {name: value for name, value in answer.items() if name != "incarnation"}
+            for answer in (a.explain({"key": key}) for a in fleet.agents_of("orders"))
+            if answer["record"]
+        ]
+        self.note("explain", key, answers)
+
+    def ran(self, fleet: EmbeddedFleet) -> None:
+        runs = {}
+        for upstream in fleet.upstreams_of("orders"):
+            runs.update(upstream.runs)
+        self.note("upstreams ran", dict(sorted(runs.items())))
+
+
+def _plan(network: str, targets: int) -> FleetPlan:
+    upstream = UpstreamOptions(warm_after=1)
+    return FleetPlan(
+        network,
+        services=(
+            ServicePlan("orders", targets, upstream),
+            ServicePlan("drawings", 1, upstream),
+        ),
+    )
+
+
+async def _owner(fleet: EmbeddedFleet, session) -> str:
+    incarnation = (await session.connection()).incarnation
+    return next(
+        name
+        for name, member in fleet.members.items()
+        if getattr(member.role, "incarnation", None) == incarnation
+    )
+
+
+class TestGoldenSessions:
+    def test_order_session_through_a_drain(self, run, network, tmp_path, snapshot):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network, 2), tmp_path) as fleet:
+                with Transcript() as transcript:
+                    async with fleet.session("orders") as session:
+                        await transcript.request(session, "POST", "/orders", key="1")
+                        stopping = asyncio.create_task(
+                            fleet.stop(await _owner(fleet, session))
+                        )
+                        await asyncio.sleep(0.3)
+                        await transcript.request(session, "POST", "/orders", key="2")
+                        await stopping
+                        await transcript.request(session, "POST", "/orders", key="3")
+                        counters = session.metrics.counters
+                        transcript.note("moved", counters["connection.moved"])
+                        transcript.note("lost", counters["connection.lost"])
+                    for key in ("2", "3"):
+                        transcript.explain(fleet, key)
+                    transcript.ran(fleet)
+                return transcript.lines
+
+        assert run(scenario()) == snapshot
+
+    def test_download_through_a_balancers_death(self, run, network, tmp_path, snapshot):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network, 1), tmp_path) as fleet:
+                with Transcript() as transcript:
+                    async with fleet.session("drawings") as session:
+                        fabric = fleet.fabrics["drawings"]
+                        fabric.delay_s = 0.02
+                        path = "/drawings/600000/t"
+                        download = asyncio.create_task(
+                            transcript.request(session, "GET", path, timeout_s=30.0)
+                        )
+                        await asyncio.sleep(0.2)
+                        assert not download.done()
+                        await fleet.kill("balancer-0")
+                        transcript.note("balancer killed")
+                        await asyncio.sleep(0.3)
+                        fleet.spray_over([1])
+                        await download
+                        opened = session.metrics.counters["connect.opened"]
+                        transcript.note("connections opened", opened)
+                return transcript.lines
+
+        assert run(scenario()) == snapshot
+
+    def test_refused_and_retried_spec(self, run, network, tmp_path, snapshot):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network, 1), tmp_path) as fleet:
+                with Transcript() as transcript:
+                    async with fleet.session("orders") as session:
+                        await session.connection()
+                        upstream = fleet.upstreams["orders-0"]
+                        upstream.refuse_share = 1.0
+                        asyncio.get_running_loop().call_later(
+                            0.02, setattr, upstream, "refuse_share", 0.0
+                        )
+                        await transcript.request(session, "POST", "/specs", key="s")
+                        retried = session.metrics.counters["retry.refused.shed"]
+                        transcript.note("retried", retried > 0)
+                    transcript.explain(fleet, "s")
+                    transcript.ran(fleet)
+                lines = transcript.lines
+                return list(dict.fromkeys(lines))
+
+        assert run(scenario()) == snapshot
+
+    def test_unknown_outcome(self, run, network, tmp_path, snapshot):
+        async def scenario():
+            async with EmbeddedFleet(_plan(network, 1), tmp_path) as fleet:
+                with Transcript() as transcript:
+                    async with fleet.session("orders") as session:
+                        await session.connection()
+                        fleet.upstreams["orders-0"].slow_next_s = 1.0
+                        cut = asyncio.get_running_loop().call_later(
+                            0.3,
+                            lambda: asyncio.ensure_future(
+                                fleet.kill_upstream("orders-0")
+                            ),
+                        )
+                        await transcript.request(session, "POST", "/orders", key="u")
+                        cut.cancel()
+                    transcript.explain(fleet, "u")
+                    transcript.ran(fleet)
+                return transcript.lines
+
+        assert run(scenario()) == snapshot
