--- a/plantainyoke/agent/_connection.py
+++ b/plantainyoke/agent/_connection.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
-from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import (
+    HandshakeCompleted,
     ProtocolNegotiated,
     QuicEvent,
     StopSendingReceived,
@@ -29,6 +29,7 @@
     STREAM_ERROR,
     ConnectionDriver,
     ControlledH3Connection,
+    RoutedQuicConnection,
     pending_bytes,
 )
 from plantainyoke.telemetry import Metrics, log_event
@@ -102,8 +103,9 @@
 
     Parameters
     ----------
-    quic : QuicConnection
-    driver : ConnectionDriver
+    quic : RoutedQuicConnection
+    send : callable
+        Called with ``(datagram, client)``.
     dispatcher : Dispatcher
     metrics : Metrics
     incarnation : int
@@ -117,6 +119,8 @@
         Loop time of its first datagram.
     balancer : int
         Packed address of the balancer that forwarded last.
+    is_established : bool
+        Whether the handshake is complete.
     is_fenced : bool
         Whether a newer connection of the same session took over.
     session, epoch : bytes, int
@@ -128,7 +132,7 @@
     def __init__(
         self,
         *,
-        quic: QuicConnection,
+        quic: RoutedQuicConnection,
         send,
         dispatcher: Dispatcher,
         metrics: Metrics,
@@ -136,7 +140,9 @@
         fence,
     ) -> None:
         self.quic = quic
-        self.driver = ConnectionDriver(quic, send, self._handle_event)
+        self.driver = ConnectionDriver(
+            quic, send, self._handle_event, lambda: quic.has_begun
+        )
         self.dispatcher = dispatcher
         self.metrics = metrics
         self.incarnation = incarnation
@@ -149,6 +155,7 @@
         self.tasks: dict[int, asyncio.Task] = {}
         self.requests: dict[int, Request] = {}
         self.last_stream_id = 0
+        self.is_established = False
         self.is_fenced = False
         self.session = b""
         self.epoch = 0
@@ -197,6 +204,8 @@
     def _handle_event(self, event: QuicEvent) -> None:
         if isinstance(event, ProtocolNegotiated):
             self.h3 = ControlledH3Connection(self.quic, incarnation=self.incarnation)
+        if isinstance(event, HandshakeCompleted):
+            self.is_established = True
         if isinstance(event, StreamReset | StopSendingReceived):
             self._cancel(event.stream_id)
         if self.h3 is not None:
--- a/plantainyoke/agent/_listener.py
+++ b/plantainyoke/agent/_listener.py
@@ -35,6 +35,7 @@
 )
 
 MAX_HOPS = 2
+HANDSHAKE_TIMEOUT_S = 10.0
 MAX_SESSIONS = 20_000
 BALANCER_VALID_S = 2.0
 CONNECTION_MARGIN = 1  # difference below which a new flow is not passed on
@@ -201,6 +202,7 @@
         self.open.add(connection)
         self.node.metrics.count("connection.accepted")
         connection.feed(forward.payload, unpack_address(forward.client))
+        self.loop.call_later(HANDSHAKE_TIMEOUT_S, self._close_unestablished, connection)
         self.node.start(self._run(connection, packet.connection_id), name="connection")
 
     async def _run(self, connection: AgentConnection, first_id: bytes) -> None:
@@ -212,6 +214,12 @@
                 self.connections.pop(connection_id, None)
             self.node.metrics.count("connection.closed")
 
+    def _close_unestablished(self, connection: AgentConnection) -> None:
+        """Free the state of a handshake that its caller has left."""
+        if not connection.is_established and not connection.is_closed:
+            self.node.metrics.count("connection.handshake_timeout")
+            connection.close(NO_ERROR, "handshake timeout")
+
     def _issue(self) -> bytes:
         return self.codec.issue(self.target)
 
--- /dev/null
+++ b/plantainyoke/cli/tests/test_cli.py
@@ -0,0 +1,161 @@
+import json
+import re
+
+import pytest
+
+from plantainyoke import __version__
+from plantainyoke.cli import run_control, run_daemon
+from plantainyoke.configuration import parse_index
+
+FLEET = """
+generation: {generation}
+zones: {{plateau: in}}
+networks: [10.0.0.0/8]
+"""
+ORDERS = """
+service: orders
+address: 192.0.2.1:443
+slots: 4
+targets: [{agent: "10.0.0.1:7000", zone: plateau}]
+"""
+
+
+@pytest.fixture
+def services(tmp_path):
+    directory = tmp_path / "services"
+    directory.mkdir()
+    (directory / "fleet.yaml").write_text(FLEET.format(generation=1))
+    (directory / "orders.yaml").write_text(ORDERS)
+    return directory
+
+
+class TestUsage:
+    @pytest.mark.parametrize("program", [run_control, run_daemon])
+    def test_version(self, program, capsys):
+        with pytest.raises(SystemExit) as ended:
+            program(["--version"])
+        assert ended.value.code == 0
+        assert capsys.readouterr().out.strip() == __version__
+
+    @pytest.mark.parametrize(
+        ("program", "arguments"),
+        [
+            (run_control, []),
+            (run_control, ["unknown"]),
+            (run_control, ["build", "x"]),
+            (run_control, ["status", "--control", "nowhere"]),
+            (run_control, ["explain", "--control", "127.0.0.1:1"]),
+            (run_daemon, []),
+        ],
+    )
+    def test_wrong_usage_exits_2(self, program, arguments, capsys):
+        with pytest.raises(SystemExit) as ended:
+            program(arguments)
+        assert ended.value.code == 2
+        assert "usage:" in capsys.readouterr().err
+
+    def test_every_subcommand_has_help(self, capsys):
+        names = ("check", "build", "keys", "request", "watch", "status", "explain")
+        for name in (*names, "demo"):
+            with pytest.raises(SystemExit) as ended:
+                run_control([name, "--help"])
+            assert ended.value.code == 0
+            assert len(capsys.readouterr().out.splitlines()) > 5
+
+
+class TestCheck:
+    def test_valid(self, services, capsys):
+        assert run_control(["check", str(services)]) == 0
+        assert "1 services, 1 targets" in capsys.readouterr().out
+
+    def test_faults_one_a_line(self, services, capsys):
+        (services / "orders.yaml").write_text(ORDERS.replace("slots: 4", "slot: 4"))
+        assert run_control(["check", str(services)]) == 1
+        errors = capsys.readouterr().err.splitlines()
+        assert errors[0].startswith("orders.yaml: slots: Field required")
+        assert errors[1].startswith("orders.yaml: slot: Extra inputs")
+        assert not any("Traceback" in line for line in errors)
+
+
+class TestBuild:
+    def _build(self, services, out, *previous):
+        arguments = ["build", str(services), "--out", str(out)]
+        for directory in previous:
+            arguments += ["--previous", str(directory)]
+        return run_control(arguments)
+
+    def test_generation_must_rise(self, services, tmp_path, capsys):
+        first, second = tmp_path / "first", tmp_path / "second"
+        assert self._build(services, first) == 0
+        index = parse_index((first / "index.json").read_bytes()).unwrap()
+        assert index.generation == 1
+        assert {path.stem for path in (first / "chunks").iterdir()} == set(index.chunks)
+        assert self._build(services, second, first) == 1
+        assert "does not rise" in capsys.readouterr().err
+        assert not second.exists()
+        (services / "fleet.yaml").write_text(FLEET.format(generation=2))
+        assert self._build(services, second, first) == 0
+
+    def test_missing_previous(self, services, tmp_path, capsys):
+        assert self._build(services, tmp_path / "out", tmp_path / "none") == 1
+        assert "No such file" in capsys.readouterr().err
+
+
+class TestKeys:
+    def test_rotation_in_three_steps(self, tmp_path, capsys):
+        path = tmp_path / "keys.yaml"
+
+        def step(name: str) -> str:
+            assert run_control(["keys", name, str(path)]) == 0
+            path.write_text(capsys.readouterr().out)
+            return path.read_text()
+
+        first = step("new")
+        staged = step("stage")
+        promoted = step("promote")
+        dropped = step("drop")
+        secrets = [re.findall(r"[0-9a-f]{32,}", text) for text in (first, staged)]
+        assert secrets[1][0] == secrets[0][0]
+        assert re.findall(r"rotation: (\d)", staged) == ["0", "1"]
+        assert re.findall(r"rotation: (\d)", promoted) == ["1", "0"]
+        assert re.findall(r"rotation: (\d)", dropped) == ["1"]
+
+    def test_wrong_step(self, tmp_path, capsys):
+        path = tmp_path / "keys.yaml"
+        run_control(["keys", "new"])
+        path.write_text(capsys.readouterr().out)
+        assert run_control(["keys", "drop", str(path)]) == 1
+        assert "holds no staged key" in capsys.readouterr().err
+        assert run_control(["keys", "stage"]) == 1
+
+
+class TestQueries:
+    def test_no_answer(self, capsys):
+        assert run_control(["status", "--control", "127.0.0.1:1"]) == 1
+        assert "127.0.0.1:1 does not answer" in capsys.readouterr().err
+
+
+class TestDaemon:
+    def test_check_settings(self, tmp_path, capsys):
+        path = tmp_path / "settings.yaml"
+        settings = {
+            "name": "balancer-1",
+            "role": "balancer",
+            "zone": "plateau",
+            "listen": "10.0.1.1:7000",
+            "platform": "http://10.0.2.1:8500",
+            "keys": {
+                "peer": ["00" * 16],
+                "routing": [{"rotation": 0, "secret": "00" * 16}],
+            },
+        }
+        path.write_text(json.dumps(settings))
+        assert run_daemon(["--settings", str(path), "--check"]) == 0
+        assert "valid settings of balancer" in capsys.readouterr().out
+        path.write_text(json.dumps({**settings, "role": "agent"}))
+        assert run_daemon(["--settings", str(path)]) == 1
+        assert "needs the section 'agent'" in capsys.readouterr().err
+
+    def test_missing_settings(self, tmp_path, capsys):
+        assert run_daemon(["--settings", str(tmp_path / "none.yaml")]) == 1
+        assert "No such file" in capsys.readouterr().err
--- a/plantainyoke/quic/_driver.py
+++ b/plantainyoke/quic/_driver.py
@@ -22,6 +22,8 @@
         Called with ``(datagram, destination)``.
     handle_event : callable
         Called with each QuicEvent.
+    has_begun : callable, optional
+        Tells after the first datagrams whether the connection is worth keeping.
     """
 
     def __init__(
@@ -29,10 +31,12 @@
         quic: QuicConnection,
         send: Callable[[bytes, Address], None],
         handle_event: Callable[[QuicEvent], None],
+        has_begun: Callable[[], bool] = lambda: True,
     ) -> None:
         self.quic = quic
         self.send = send
         self.handle_event = handle_event
+        self.has_begun = has_begun
         self.loop = asyncio.get_running_loop()
         self.inbox: deque[tuple[bytes, Address]] = deque()
         self.waiter: asyncio.Future | None = None
@@ -71,6 +75,8 @@
         try:
             while not self.is_terminated:
                 has_input = self._receive()
+                if not self.has_begun():
+                    return
                 self._process_events()
                 if has_input:
                     # Lets requests that just arrived write before the packets.
--- a/plantainyoke/quic/_extensions.py
+++ b/plantainyoke/quic/_extensions.py
@@ -14,7 +14,11 @@
 
 from aioquic.buffer import encode_uint_var
 from aioquic.h3.connection import FrameType, H3Connection, encode_frame
-from aioquic.quic.connection import QuicConnection, QuicConnectionId
+from aioquic.quic.connection import (
+    QuicConnection,
+    QuicConnectionId,
+    QuicConnectionState,
+)
 
 INCARNATION_SETTING = 0x706C61  # unassigned HTTP/3 setting identifier
 NO_ERROR = 0x100
@@ -71,6 +75,11 @@
         self.host_cid = first.cid
         self._local_initial_source_connection_id = first.cid
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether an authentic Initial packet has arrived."""
+        return self._state is not QuicConnectionState.FIRSTFLIGHT
+
     def _new_connection_id(self, sequence_number: int) -> QuicConnectionId:
         connection_id = self.issue()
         return QuicConnectionId(
--- /dev/null
+++ b/plantainyoke/quic/tests/test_extensions.py
@@ -0,0 +1,196 @@
+"""Fails when a new version of the QUIC library changes what we lean on."""
+
+import os
+
+import pytest
+from aioquic.h3.connection import H3_ALPN
+from aioquic.h3.events import HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import HandshakeCompleted, ProtocolNegotiated
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainyoke.quic import (
+    ControlledH3Connection,
+    RoutedQuicConnection,
+    SessionQuicConnection,
+    build_stateless_reset,
+    derive_reset_token,
+    pending_bytes,
+    server_connection_id,
+    server_source_id,
+)
+from plantainyoke.routing import CONNECTION_ID_SIZE
+from plantainyoke.standins import write_certificate
+
+CLIENT, SERVER = ("192.0.2.1", 1000), ("192.0.2.2", 443)
+SERVER_NAME = "service.test"
+SECRET = b"s" * 16
+
+
+class Pair:
+    """A client and a server that hand datagrams over in memory."""
+
+    def __init__(self, directory) -> None:
+        certificate, key = write_certificate(directory, SERVER_NAME)
+        client = QuicConfiguration(
+            is_client=True, alpn_protocols=H3_ALPN, server_name=SERVER_NAME
+        )
+        client.load_verify_locations(str(certificate))
+        server = QuicConfiguration(
+            is_client=False,
+            alpn_protocols=H3_ALPN,
+            connection_id_length=CONNECTION_ID_SIZE,
+        )
+        server.load_cert_chain(certificate, key)
+        self.server_configuration = server
+        self.issued: list[bytes] = []
+        self.now = 0.0
+        self.client = SessionQuicConnection(configuration=client)
+        self.client.connect(SERVER, now=self.now)
+        self.server = self.accept()
+        self.events: dict[str, list] = {"client": [], "server": []}
+        self.h3: dict[str, ControlledH3Connection] = {}
+
+    def accept(self) -> RoutedQuicConnection:
+        return RoutedQuicConnection(
+            issue=self.issue,
+            reset_secret=SECRET,
+            configuration=self.server_configuration,
+            original_destination_connection_id=(
+                self.client.original_destination_connection_id
+            ),
+        )
+
+    def issue(self) -> bytes:
+        self.issued.append(os.urandom(CONNECTION_ID_SIZE))
+        return self.issued[-1]
+
+    def exchange(self, rounds: int = 10) -> None:
+        for _ in range(rounds):
+            self.now += 0.01
+            self.deliver(self.client, self.server, "server", CLIENT)
+            self.deliver(self.server, self.client, "client", SERVER)
+
+    def deliver(self, sender, receiver, name: str, source) -> None:
+        for datagram, _ in sender.datagrams_to_send(now=self.now):
+            receiver.receive_datagram(datagram, source, now=self.now)
+        event = receiver.next_event()
+        while event is not None:
+            self.events[name].append(event)
+            if isinstance(event, ProtocolNegotiated):
+                incarnation = 42 if name == "server" else 0
+                self.h3[name] = ControlledH3Connection(
+                    receiver, incarnation=incarnation
+                )
+            if name in self.h3:
+                self.events[name] += self.h3[name].handle_event(event)
+            event = receiver.next_event()
+
+
+@pytest.fixture
+def pair(tmp_path):
+    pair = Pair(tmp_path)
+    pair.exchange()
+    return pair
+
+
+class TestConnectionIds:
+    def test_all_are_issued_by_us(self, pair):
+        assert any(isinstance(e, HandshakeCompleted) for e in pair.events["client"])
+        assert server_source_id(pair.client) == pair.issued[0]
+        assert server_connection_id(pair.client) in pair.issued
+        assert {item.cid for item in pair.server._host_cids} <= set(pair.issued)
+        assert len(pair.issued) > 1
+
+    def test_client_ignores_a_second_server(self, tmp_path):
+        pair = Pair(tmp_path)
+        second = pair.accept()
+        for datagram, _ in pair.client.datagrams_to_send(now=0.0):
+            pair.server.receive_datagram(datagram, CLIENT, now=0.0)
+            second.receive_datagram(datagram, CLIENT, now=0.0)
+        for answering in (pair.server, second):
+            for datagram, _ in answering.datagrams_to_send(now=0.0):
+                pair.client.receive_datagram(datagram, SERVER, now=0.0)
+        pair.exchange()
+        assert any(isinstance(e, HandshakeCompleted) for e in pair.events["client"])
+        assert not second._handshake_complete
+
+    def test_server_offers_no_zero_rtt(self, pair):
+        assert pair.server._session_ticket_handler is None
+        completed = [
+            event
+            for event in pair.events["server"]
+            if isinstance(event, HandshakeCompleted)
+        ]
+        assert not completed[0].early_data_accepted
+
+
+class TestAmplification:
+    def test_unvalidated_address_gets_at_most_three_times_its_bytes(self, tmp_path):
+        pair = Pair(tmp_path)
+        received = sent = 0
+        datagrams = pair.client.datagrams_to_send(now=0.0)
+        for datagram, _ in datagrams[:1]:
+            received += len(datagram)
+            pair.server.receive_datagram(datagram, CLIENT, now=0.0)
+        for step in range(60):
+            now = step * 0.2
+            timer = pair.server.get_timer()
+            if timer is not None and timer <= now:
+                pair.server.handle_timer(now=now)
+            sent += sum(len(d) for d, _ in pair.server.datagrams_to_send(now=now))
+        assert 0 < sent <= 3 * received
+
+
+class TestStatelessReset:
+    def test_client_recognises_the_reset_of_its_connection(self, pair):
+        token = derive_reset_token(SECRET, server_connection_id(pair.client))
+        reset = build_stateless_reset(token, 100)
+        assert pair.client.is_stateless_reset(reset)
+
+    @given(st.binary(max_size=60))
+    def test_other_datagrams_are_not_resets(self, datagram):
+        quic = SessionQuicConnection(configuration=QuicConfiguration(is_client=True))
+        quic._peer_cid.stateless_reset_token = b"t" * 16
+        assert quic.is_stateless_reset(datagram) == (
+            len(datagram) >= 21
+            and not datagram[0] & 0x80
+            and datagram.endswith(b"t" * 16)
+        )
+
+    @given(st.integers(0, 1500))
+    def test_reset_is_smaller_than_what_it_answers(self, size):
+        reset = build_stateless_reset(b"t" * 16, size)
+        assert reset is None or 21 <= len(reset) < size
+
+
+class TestControl:
+    def test_incarnation_travels_in_settings(self, pair):
+        assert pair.h3["client"].peer_incarnation == 42
+
+    def test_goaway_is_reported(self, pair):
+        assert not pair.h3["client"].goaway_received
+        pair.h3["server"].send_goaway(0)
+        pair.exchange()
+        assert pair.h3["client"].goaway_received
+
+    def test_pending_bytes_follow_the_buffer(self, pair):
+        stream_id = pair.client.get_next_available_stream_id()
+        headers = [
+            (b":method", b"POST"),
+            (b":scheme", b"https"),
+            (b":authority", SERVER_NAME.encode()),
+            (b":path", b"/"),
+        ]
+        pair.h3["client"].send_headers(stream_id, headers)
+        pair.h3["client"].send_data(stream_id, b"x" * 500_000, end_stream=True)
+        assert pending_bytes(pair.client, stream_id) > 400_000
+        pair.exchange(rounds=400)
+        assert pending_bytes(pair.client, stream_id) == 0
+        assert any(isinstance(e, HeadersReceived) for e in pair.events["server"])
+
+    def test_pending_bytes_of_an_unknown_stream(self):
+        quic = QuicConnection(configuration=QuicConfiguration(is_client=True))
+        assert pending_bytes(quic, 0) == 0
