--- a/benchmarks/bench_slopes.py
+++ b/benchmarks/bench_slopes.py
@@ -8,9 +8,11 @@
 import argparse
 import functools
 import gc
+import importlib
 import json
 import multiprocessing
 import random
+import resource
 import sys
 import time
 import tracemalloc
@@ -40,7 +42,7 @@
     plan_watchers,
 )
 from plantainyoke.membership._failover_unit import SAMPLE_TIMEOUT_S  # noqa: E402
-from plantainyoke.platform import HostEntry, HostList  # noqa: E402
+from plantainyoke.platform import HostEntry, HostList, parse_hosts  # noqa: E402
 from plantainyoke.routing import zone_identifier  # noqa: E402
 from plantainyoke.wire import (  # noqa: E402
     Condition,
@@ -340,6 +342,38 @@
     return {"records": count, "bytes_each": round(size / count)}
 
 
+def measure_hosts(balancers: int) -> dict:
+    """Return the cost of the host list of a whole fleet."""
+    records = [
+        {
+            "address": format_address(unpack_address((0x0B000000 + n) << 16 | PORT)),
+            "zone": ZONES[n % len(ZONES)],
+            "role": "balancer",
+        }
+        for n in range(balancers)
+    ]
+    document = json.dumps(records).encode()
+    parse_s = best_of(lambda: parse_hosts(document), 3)
+    tracemalloc.start()
+    hosts = parse_hosts(document).unwrap()
+    assert hosts.zone_of
+    size = tracemalloc.get_traced_memory()[0] + len(document)
+    tracemalloc.stop()
+    return {
+        "entries": balancers,
+        "bytes": len(document),
+        "compressed_bytes": len(zlib.compress(document)),
+        "parse_ms": round(parse_s * 1e3, 2),
+        "kb": round(size / 1024, 1),
+    }
+
+
+def measure_process(module: str) -> float:
+    """Return the resident memory in MB of a process that imported a role."""
+    importlib.import_module(module)
+    return round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1)
+
+
 def in_process(function, arguments) -> dict:
     """Run a measurement in a process of its own."""
     context = multiprocessing.get_context("spawn")
@@ -355,6 +389,11 @@
         "configuration": [in_process(measure_configuration, size) for size in SIZES],
         "membership": [in_process(measure_membership, (n,)) for n in HOST_SIZES],
         "messages": in_process(measure_messages, ()),
+        "hosts": in_process(measure_hosts, (HOST_SIZES[-1],)),
+        "process_mb": {
+            role: in_process(measure_process, (f"plantainyoke.{role}",))
+            for role in ("balancer", "agent")
+        },
         "zone_failure": [
             in_process(measure_zone_failure, (n,)) for n in (50, 100, 200)
         ],
