Split the largest modules by job

The caller's session, the configuration follower and the agent's connection had grown to 400 lines and more.

--- a/plantainyoke/agent/_connection.py
+++ b/plantainyoke/agent/_connection.py
@@ -1,7 +1,6 @@
 """One caller's connection: HTTP/3 streams and their requests."""
 
 import asyncio
-from dataclasses import dataclass, field
 
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic.events import (
@@ -16,13 +15,18 @@
 from plantainyoke.agent._messages import (
     AnswerCutError,
     AnswerNotKeptError,
-    Headers,
     KeyReusedError,
     Request,
     RequestError,
-    Resume,
 )
-from plantainyoke.agent._upstream import HOP_BY_HOP, RESERVED_PREFIX
+from plantainyoke.agent._request_headers import (
+    MalformedRequestError,
+    PartialRequest,
+    build_request,
+    parse_resume,
+    parse_session,
+)
+from plantainyoke.agent._stream_sink import StreamSink
 from plantainyoke.limits import Refusal, RefusalReason
 from plantainyoke.quic import (
     REQUEST_REJECTED,
@@ -30,72 +34,12 @@
     ConnectionDriver,
     ControlledH3Connection,
     RoutedQuicConnection,
-    pending_bytes,
 )
 from plantainyoke.telemetry import Metrics, log_event
 from plantainyoke.wire import Address
 
 MAX_BODY_SIZE = 1_000_000
-MAX_PENDING_BYTES = 262_144
-SECONDS_TO_MS = 1000
-KEY_HEADER = b"idempotency-key"
-TIMEOUT_HEADER = b"request-timeout-ms"
-SESSION_HEADER = b"plantainyoke-session"
-RESUME_HEADER = b"plantainyoke-resume"
 OUTCOME_HEADER = b"plantainyoke-outcome"
-MAX_KEY_SIZE = 200
-CONSUMED_HEADERS = frozenset({KEY_HEADER, TIMEOUT_HEADER, b"host"})
-
-
-@dataclass
-class PartialRequest:
-    """A request whose body is still arriving."""
-
-    headers: Headers
-    body: bytearray = field(default_factory=bytearray)
-
-
-class MalformedRequestError(Exception):
-    """A header of the request is not valid."""
-
-
-class StreamSink:
-    """Writes an answer to one HTTP/3 stream."""
-
-    def __init__(self, connection: "AgentConnection", stream_id: int) -> None:
-        self.connection = connection
-        self.stream_id = stream_id
-        self.is_started = False
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the status and headers."""
-        self.is_started = True
-        if self.connection.is_closed:
-            return
-        self.connection.h3.send_headers(
-            self.stream_id, [(b":status", str(status).encode()), *headers]
-        )
-        self.connection.driver.wake()
-
-    async def write(self, data: bytes) -> None:
-        """Send a piece of the body, waiting while much is unsent."""
-        connection = self.connection
-        if connection.is_closed:
-            return
-        connection.h3.send_data(self.stream_id, data, end_stream=False)
-        connection.driver.wake()
-        while (
-            not connection.is_closed
-            and pending_bytes(connection.quic, self.stream_id) > MAX_PENDING_BYTES
-        ):
-            await connection.driver.wait_progress()
-
-    async def finish(self, data: bytes = b"") -> None:
-        """Send the last piece and end the body."""
-        if self.connection.is_closed:
-            return
-        self.connection.h3.send_data(self.stream_id, data, end_stream=True)
-        self.connection.driver.wake()
 
 
 class AgentConnection:
@@ -255,49 +199,14 @@
             self._report_unknown(stream_id, sink, error)
 
     def _build_request(self, partial: PartialRequest) -> Request:
-        headers = dict(partial.headers)
-        now = self.loop.time()
-        resume = self._parse_resume(headers.get(RESUME_HEADER))
-        session = headers.get(SESSION_HEADER)
-        if session is not None:
-            self._check_session(session, resume is not None)
+        line = parse_session(partial.headers)
+        resume = parse_resume(partial.headers, self.created_at)
+        if line is not None:
+            self.session, self.epoch = line
+            if not self.fence(self, self.epoch, resume is not None):
+                raise Refusal(RefusalReason.FENCED)
         limit_s = self.dispatcher.request_timeout_s
-        timeout_s = _parse_timeout(headers.get(TIMEOUT_HEADER), limit_s)
-        key = headers.get(KEY_HEADER, b"")
-        if len(key) > MAX_KEY_SIZE:
-            raise MalformedRequestError
-        return Request(
-            method=headers[b":method"].decode("ascii"),
-            path=headers[b":path"].decode("ascii"),
-            headers=[pair for pair in partial.headers if _is_forwarded(pair[0])],
-            body=bytes(partial.body),
-            deadline=now + timeout_s,
-            key=key.decode("latin-1"),
-            resume=resume,
-        )
-
-    def _check_session(self, value: bytes, resumes: bool) -> None:
-        session, separator, epoch = value.partition(b";epoch=")
-        if not separator or not epoch.isdigit():
-            raise MalformedRequestError
-        self.session = session
-        self.epoch = int(epoch)
-        if not self.fence(self, self.epoch, resumes):
-            raise Refusal(RefusalReason.FENCED)
-
-    def _parse_resume(self, value: bytes | None) -> Resume | None:
-        """Read ``incarnation;age=milliseconds``.
-
-        The caller can have asked no earlier than this connection began, so
-        the request was sent no earlier than its age before that.
-        """
-        if value is None:
-            return None
-        incarnation, separator, age = value.partition(b";age=")
-        if not separator or not incarnation.isdigit() or not age.isdigit():
-            raise MalformedRequestError
-        sent_after = self.created_at - int(age) / SECONDS_TO_MS
-        return Resume(int(incarnation), sent_after)
+        return build_request(partial, resume, now=self.loop.time(), limit_s=limit_s)
 
     def _refuse(self, stream_id: int, refusal: Refusal) -> None:
         self.metrics.count(f"refusal.sent.{refusal.reason.value}")
@@ -381,20 +290,3 @@
     RefusalReason.MALFORMED: 400,
     RefusalReason.DEADLINE_EXPIRED: 504,
 }
-
-
-def _is_forwarded(name: bytes) -> bool:
-    return not (
-        name.startswith(b":")
-        or name in CONSUMED_HEADERS
-        or name.decode("latin-1") in HOP_BY_HOP
-        or name.startswith(RESERVED_PREFIX.encode())
-    )
-
-
-def _parse_timeout(value: bytes | None, limit_s: float) -> float:
-    if value is None:
-        return limit_s
-    if not value.isdigit():
-        raise MalformedRequestError
-    return min(int(value) / SECONDS_TO_MS, limit_s)
--- /dev/null
+++ b/plantainyoke/agent/_stream_sink.py
@@ -0,0 +1,50 @@
+"""Writes answers to HTTP/3 streams."""
+
+from typing import TYPE_CHECKING
+
+from plantainyoke.agent._messages import Headers
+from plantainyoke.quic import pending_bytes
+
+if TYPE_CHECKING:
+    from plantainyoke.agent._connection import AgentConnection
+
+MAX_PENDING_BYTES = 262_144
+
+
+class StreamSink:
+    """Writes an answer to one HTTP/3 stream."""
+
+    def __init__(self, connection: "AgentConnection", stream_id: int) -> None:
+        self.connection = connection
+        self.stream_id = stream_id
+        self.is_started = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status and headers."""
+        self.is_started = True
+        if self.connection.is_closed:
+            return
+        self.connection.h3.send_headers(
+            self.stream_id, [(b":status", str(status).encode()), *headers]
+        )
+        self.connection.driver.wake()
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the body, waiting while much is unsent."""
+        connection = self.connection
+        if connection.is_closed:
+            return
+        connection.h3.send_data(self.stream_id, data, end_stream=False)
+        connection.driver.wake()
+        while (
+            not connection.is_closed
+            and pending_bytes(connection.quic, self.stream_id) > MAX_PENDING_BYTES
+        ):
+            await connection.driver.wait_progress()
+
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last piece and end the body."""
+        if self.connection.is_closed:
+            return
+        self.connection.h3.send_data(self.stream_id, data, end_stream=True)
+        self.connection.driver.wake()
--- a/plantainyoke/agent/tests/test_records.py
+++ b/plantainyoke/agent/tests/test_records.py
@@ -1,7 +1,6 @@
 import asyncio
 from collections import Counter
 
-import looptime
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -17,19 +16,12 @@
     Resume,
 )
 from plantainyoke.agent._records import LARGE_ANSWER_KEPT_S, MAX_KEPT_ANSWER_SIZE
+from plantainyoke.conftest import run_virtual
 from plantainyoke.limits import Refusal, RefusalReason
 
 INCARNATION = 77
 
 
-def run_virtual(coroutine):
-    loop = looptime.new_event_loop(start=0)
-    try:
-        return loop.run_until_complete(coroutine)
-    finally:
-        loop.close()
-
-
 def _request(key: str, *, body: bytes = b"", resume: Resume | None = None) -> Request:
     return Request("POST", "/orders", [], body, 1e9, key=key, resume=resume)
 
--- a/plantainyoke/caller/_session.py
+++ b/plantainyoke/caller/_session.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import uuid
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 from plantainyoke.caller._connection import CallerConnection
@@ -15,16 +15,22 @@
     OutcomeUnknownError,
     RefusedError,
 )
-from plantainyoke.caller._stream import CallerAnswer, Event, Headers, ResponseStream
+from plantainyoke.caller._request import (
+    IDEMPOTENT_METHODS,
+    OutgoingRequest,
+    SessionLine,
+    build_request_headers,
+)
+from plantainyoke.caller._silence import unless_silent
+from plantainyoke.caller._stream import CallerAnswer, Event, Headers
+from plantainyoke.caller._watch import Watch
 from plantainyoke.limits import RetryBudget, full_jitter_backoff
 from plantainyoke.telemetry import Metrics
 from plantainyoke.wire import Address
 
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 CONNECT_TIMEOUT_S = 1.2
 CONNECT_ATTEMPTS = 4
 MAX_ATTEMPTS = 5
-SECONDS_TO_MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,33 +49,6 @@
     certificate_authority: str
 
 
-@dataclass(slots=True)
-class OutgoingRequest:
-    """One request of a session and where it was sent so far.
-
-    Attributes
-    ----------
-    sent_at : float
-        Loop time of the first send, 0 before it.
-    sent_on : CallerConnection, optional
-        The connection that may have run it.
-    """
-
-    method: str
-    path: str
-    body: bytes
-    headers: Headers
-    key: str
-    deadline: float
-    sent_at: float = 0.0
-    sent_on: CallerConnection | None = None
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Whether running it twice is harmless."""
-        return self.method in IDEMPOTENT_METHODS
-
-
 class Session:
     """Sends requests and watches events through any number of connections.
 
@@ -182,30 +161,14 @@
         Moves to another connection when the agent asks to or the path breaks,
         and goes on after the last event that was yielded.
         """
-        connection: CallerConnection | None = None
-        stream: ResponseStream | None = None
-        attempt = 0
+        watch = Watch(self, path, last_event_id)
         try:
             while True:
-                try:
-                    if stream is None or connection.retiring.is_set():
-                        connection, stream = await self._move_watch(
-                            path, last_event_id, connection, stream
-                        )
-                    event = await self._next_event(connection, stream)
-                except (ConnectionLostError, ConnectError, RefusedError) as error:
-                    self.metrics.count(f"watch.{type(error).__name__}")
-                    await self._back_off(attempt, error)
-                    attempt += 1
-                    stream = None
-                    continue
+                event = await watch.next_event()
                 if event is not None:
-                    attempt = 0
-                    last_event_id = event.id or last_event_id
                     yield event
         finally:
-            if stream is not None:
-                connection.cancel(stream)
+            watch.close()
 
     async def connection(self) -> CallerConnection:
         """Return a usable connection, opening one if needed.
@@ -248,9 +211,10 @@
                 raise _as_unknown(error) from error
             raise error
         self.metrics.count(f"retry.{reason}")
-        await self._back_off(attempt, error)
+        await self.back_off(attempt, error)
 
-    async def _back_off(self, attempt: int, error: CallerError) -> None:
+    async def back_off(self, attempt: int, error: CallerError) -> None:
+        """Wait before another attempt, with jitter and Retry-After."""
         minimum_s = getattr(error, "retry_after_s", 0.0)
         await asyncio.sleep(full_jitter_backoff(attempt, self.rng, minimum_s=minimum_s))
 
@@ -270,14 +234,17 @@
         now = self.loop.time()
         if now >= request.deadline:
             raise OutcomeUnknownError("timeout") if resumes else RefusedError("timeout")
-        headers = self._build_headers(connection, request, resumes)
+        line = SessionLine(self.options.server_name, self.id, connection.epoch)
+        headers = build_request_headers(
+            line, request, now, resumed_at=connection.incarnation if resumes else None
+        )
         if not request.sent_at:
             request.sent_at = now
         request.sent_on = connection
         stream = connection.send_request(headers, request.body)
         try:
             async with asyncio.timeout_at(request.deadline):
-                return await _first_of(stream.wait_answer(), connection.silent)
+                return await unless_silent(stream.wait_answer(), connection.silent)
         except TimeoutError:
             raise OutcomeUnknownError("timeout") from None
         finally:
@@ -296,7 +263,7 @@
             try:
                 connection = await self._open(token=lost.token)
             except ConnectError:
-                await self._back_off(attempt, ConnectError())
+                await self.back_off(attempt, ConnectError())
                 continue
             if connection.incarnation != incarnation:
                 await connection.aclose()
@@ -313,34 +280,6 @@
                 raise
         raise OutcomeUnknownError("agent_unreachable")
 
-    def _build_headers(self, connection, request, resumes: bool) -> Headers:
-        now = self.loop.time()
-        remaining_ms = max(1, round((request.deadline - now) * SECONDS_TO_MS))
-        headers = self._common_headers(connection, request.method, request.path)
-        headers.append((b"request-timeout-ms", str(remaining_ms).encode()))
-        if request.key:
-            headers.append((b"idempotency-key", request.key.encode()))
-        if request.body:
-            length = str(len(request.body)).encode()
-            headers.append((b"content-length", length))
-        if resumes:
-            age_ms = int((now - request.sent_at) * SECONDS_TO_MS) + 1
-            value = f"{connection.incarnation};age={age_ms}"
-            headers.append((b"plantainyoke-resume", value.encode()))
-        return headers + request.headers
-
-    def _common_headers(self, connection, method: str, path: str) -> Headers:
-        return [
-            (b":method", method.encode()),
-            (b":scheme", b"https"),
-            (b":authority", self.options.server_name.encode()),
-            (b":path", path.encode()),
-            (
-                b"plantainyoke-session",
-                f"{self.id};epoch={connection.epoch}".encode(),
-            ),
-        ]
-
     async def _open_any(self) -> CallerConnection:
         for attempt in range(CONNECT_ATTEMPTS):
             try:
@@ -386,58 +325,6 @@
         self.retired.discard(connection)
         await connection.aclose()
 
-    async def _move_watch(self, path: str, last_event_id: str, old, old_stream):
-        """Open the stream on a usable connection before leaving the old one."""
-        connection = await self.connection()
-        headers = self._common_headers(connection, "GET", path)
-        headers.append((b"accept", b"text/event-stream"))
-        if last_event_id:
-            headers.append((b"last-event-id", last_event_id.encode()))
-        stream = connection.send_request(headers, b"", is_watch=True)
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await _first_of(stream.wait_head(), connection.silent)
-        except TimeoutError:
-            connection.cancel(stream)
-            raise ConnectionLostError from None
-        if old_stream is not None:
-            self.metrics.count("watch.moved")
-            old.cancel(old_stream)
-        return connection, stream
-
-    async def _next_event(self, connection, stream) -> Event | None:
-        """Return the next event, None if the agent asked to move."""
-        waiting = self.loop.create_task(stream.next_event())
-        watches = [
-            self.loop.create_task(event.wait())
-            for event in (connection.retiring, connection.silent)
-        ]
-        try:
-            await asyncio.wait([waiting, *watches], return_when=asyncio.FIRST_COMPLETED)
-            if waiting.done():
-                return waiting.result()
-            if connection.silent.is_set():
-                raise ConnectionLostError
-            return None
-        finally:
-            for task in (waiting, *watches):
-                task.cancel()
-
-
-async def _first_of(awaitable: Awaitable, silent: asyncio.Event):
-    """Return the awaitable's result unless the path goes silent first."""
-    loop = asyncio.get_running_loop()
-    answer = loop.create_task(awaitable)
-    silence = loop.create_task(silent.wait())
-    try:
-        await asyncio.wait([answer, silence], return_when=asyncio.FIRST_COMPLETED)
-        if answer.done():
-            return answer.result()
-        raise ConnectionLostError
-    finally:
-        answer.cancel()
-        silence.cancel()
-
 
 def _end_cause(connection: CallerConnection) -> str:
     if connection.retiring.is_set():
--- a/plantainyoke/caller/_silence.py
+++ b/plantainyoke/caller/_silence.py
@@ -1,5 +1,10 @@
 """Notices that nothing comes back on a path."""
 
+import asyncio
+from collections.abc import Awaitable
+
+from plantainyoke.caller._errors import ConnectionLostError
+
 REQUEST_PING_INTERVAL_S = 0.5
 WATCH_PING_INTERVAL_S = 2.0
 IDLE_PING_INTERVAL_S = 15.0
@@ -52,3 +57,24 @@
     def is_silent(self, now: float) -> bool:
         """Tell whether a probe has stayed unanswered for too long."""
         return self.asked_at is not None and now - self.asked_at >= SILENCE_S
+
+
+async def unless_silent(awaitable: Awaitable, silent: asyncio.Event):
+    """Return the awaitable's result unless the path goes silent first.
+
+    Raises
+    ------
+    ConnectionLostError
+        If the path goes silent.
+    """
+    loop = asyncio.get_running_loop()
+    answer = loop.create_task(awaitable)
+    silence = loop.create_task(silent.wait())
+    try:
+        await asyncio.wait([answer, silence], return_when=asyncio.FIRST_COMPLETED)
+        if answer.done():
+            return answer.result()
+        raise ConnectionLostError
+    finally:
+        answer.cancel()
+        silence.cancel()
--- a/plantainyoke/conftest.py
+++ b/plantainyoke/conftest.py
@@ -3,6 +3,7 @@
 import os
 from collections.abc import Awaitable, Callable
 
+import looptime
 import pytest
 import uvloop
 from hypothesis import settings
@@ -28,3 +29,12 @@
 def run() -> Callable[[Awaitable], object]:
     """Return a function that runs a coroutine on a fresh event loop."""
     return uvloop.run
+
+
+def run_virtual(coroutine: Awaitable) -> object:
+    """Run a coroutine on an event loop whose time passes at once."""
+    loop = looptime.new_event_loop(start=0)
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
--- a/plantainyoke/limits/tests/test_limits.py
+++ b/plantainyoke/limits/tests/test_limits.py
@@ -1,11 +1,11 @@
 import asyncio
 import random
 
-import looptime
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from plantainyoke.conftest import run_virtual
 from plantainyoke.limits import (
     AdaptiveLimit,
     Admission,
@@ -20,15 +20,6 @@
 FLOOR, CEILING, WARM_UP = 1, 8, 20
 
 
-def run_virtual(coroutine):
-    """Run a coroutine on virtual time."""
-    loop = looptime.new_event_loop(start=0)
-    try:
-        return loop.run_until_complete(coroutine)
-    finally:
-        loop.close()
-
-
 def _limit() -> AdaptiveLimit:
     return AdaptiveLimit(FLOOR, CEILING, warm_up_requests=WARM_UP)
 
--- /dev/null
+++ b/plantainyoke/node/_documents.py
@@ -0,0 +1,111 @@
+"""Exchange of configuration documents on links."""
+
+import zlib
+
+from returns.result import Failure
+
+from plantainyoke.node._links import LinkClosedError
+from plantainyoke.node._node import Node
+
+HOSTS_DOCUMENT = "hosts"
+MAX_DOCUMENT_SIZE = 1_000_000
+
+
+class DocumentExchange:
+    """Pulls documents from peers and answers their pulls.
+
+    Parameters
+    ----------
+    node : Node
+
+    Attributes
+    ----------
+    hosts_document : bytes
+        The latest host list as it was published.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.hosts_document = b""
+        node.links.serve_pull = self.serve
+
+    async def serve(self, link, frame: dict) -> None:
+        """Answer a peer's request for a document."""
+        request = frame["pull"]
+        kind, body = self._find(request["chunk"], request["have"])
+        answer = link.new_frame()
+        document = answer.init("document")
+        document.id = request["id"]
+        document.kind = kind
+        document.body = zlib.compress(body)
+        self.node.metrics.count("bytes.configuration", len(document.body))
+        link.send(answer)
+
+    def _find(self, chunk: str, have: str) -> tuple[str, bytes]:
+        """Return the kind and body of the answer to a pull."""
+        store = self.node.store
+        if chunk == HOSTS_DOCUMENT:
+            body = self.hosts_document
+        elif chunk:
+            body = store.documents.get(chunk, b"")
+        else:
+            delta = store.delta_from(have)
+            if delta:
+                return "delta", delta
+            body = store.index_document
+        return ("whole" if body else "missing"), body
+
+    async def pull_index(self, peer: int) -> bytes:
+        """Return a peer's index, by its difference from ours if it can tell that."""
+        kind, body = await self.pull(peer, "", self.node.snapshot.digest)
+        if kind != "delta":
+            return body
+        rebuilt = self.node.store.rebuild(body)
+        if isinstance(rebuilt, Failure):
+            self.node.metrics.count("configuration.bad_delta")
+            _, body = await self.pull(peer, "")
+            return body
+        return rebuilt.unwrap()
+
+    async def pull(self, peer: int, chunk: str, have: str = "") -> tuple[str, bytes]:
+        """Return the kind and body of a peer's document.
+
+        Parameters
+        ----------
+        peer : int
+        chunk : str
+            Digest of a chunk, ``HOSTS_DOCUMENT``, or empty for the index.
+        have : str, default=""
+            Digest of the index that a delta may start from.
+
+        Raises
+        ------
+        LinkClosedError
+            If the peer cannot be reached or leaves.
+        zlib.error
+            If the document is damaged or too large.
+        """
+        link = await self.node.links.connect(peer)
+        number, queue = link.open_request()
+        try:
+            frame = link.new_frame()
+            pull = frame.init("pull")
+            pull.id = number
+            pull.chunk = chunk
+            pull.have = have
+            link.send(frame)
+            answer = await queue.get()
+            if answer is None:
+                raise LinkClosedError
+            document = answer["document"]
+            return document["kind"], _decompress(document["body"])
+        finally:
+            link.close_request(number)
+
+
+def _decompress(body: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    document = decompressor.decompress(body, MAX_DOCUMENT_SIZE)
+    if decompressor.unconsumed_tail:
+        raise zlib.error("document too large")
+    return document
--- a/plantainyoke/node/_follower.py
+++ b/plantainyoke/node/_follower.py
@@ -9,6 +9,7 @@
 
 from plantainyoke.configuration import Offer, digest_of
 from plantainyoke.membership import DistributionRole, plan_distribution
+from plantainyoke.node._documents import HOSTS_DOCUMENT, DocumentExchange
 from plantainyoke.node._links import LinkClosedError
 from plantainyoke.node._node import Node
 from plantainyoke.platform import PlatformStaleError, parse_hosts
@@ -22,12 +23,10 @@
 BOOTSTRAP_RETRY_S = 0.5
 HOSTS_INTERVAL_S = 5.0
 HOSTS_ENTRIES_PER_S = 50.0  # bounds the bytes that a long list costs
-HOSTS_DOCUMENT = "hosts"
 CHILD_VALID_S = 2.0
 WATCH_RETRY_S = 0.5
 READS_PER_ZONE_PER_S = 20.0  # share of one zone of the platform's read budget
 MINIMUM_SELF_READ_S = 3.0
-MAX_DOCUMENT_SIZE = 1_000_000
 PLATFORM_SOURCE = "platform"
 
 
@@ -51,7 +50,7 @@
         self.rng = rng
         self.source = ""
         self.role = DistributionRole(True, ())
-        self.hosts_document = b""
+        self.documents = DocumentExchange(node)
         self.heard_at: dict[int, float] = {}
         self.children: dict[int, float] = {}
         self.behind = asyncio.Event()
@@ -63,7 +62,6 @@
         self.seeds = [pack_address(parse_address(seed)) for seed in node.settings.seeds]
         node.follower = self
         node.generation_listeners.append(self.note_generation)
-        node.links.serve_pull = self.serve_pull
 
     @property
     def is_balancer(self) -> bool:
@@ -138,7 +136,7 @@
         """Ask a peer for its index and the chunks that are missing."""
         try:
             async with asyncio.timeout(PULL_TIMEOUT_S):
-                document = await self._pull_index(peer)
+                document = await self.documents.pull_index(peer)
                 if document:
                     await self.accept_index(document, peer)
         except (LinkClosedError, TimeoutError, zlib.error):
@@ -165,44 +163,6 @@
                 return False
             return await self._apply(offer, peer)
 
-    async def serve_pull(self, link, frame: dict) -> None:
-        """Answer a peer's request for a document."""
-        request = frame["pull"]
-        kind, body = self._find_document(request["chunk"], request["have"])
-        answer = link.new_frame()
-        document = answer.init("document")
-        document.id = request["id"]
-        document.kind = kind
-        document.body = zlib.compress(body)
-        self.node.metrics.count("bytes.configuration", len(document.body))
-        link.send(answer)
-
-    def _find_document(self, chunk: str, have: str) -> tuple[str, bytes]:
-        """Return the kind and body of the answer to a pull."""
-        store = self.node.store
-        if chunk == HOSTS_DOCUMENT:
-            body = self.hosts_document
-        elif chunk:
-            body = store.documents.get(chunk, b"")
-        else:
-            delta = store.delta_from(have)
-            if delta:
-                return "delta", delta
-            body = store.index_document
-        return ("whole" if body else "missing"), body
-
-    async def _pull_index(self, peer: int) -> bytes:
-        """Return a peer's index, by its difference from ours if it can tell that."""
-        kind, body = await self._pull_document(peer, "", self.node.snapshot.digest)
-        if kind != "delta":
-            return body
-        rebuilt = self.node.store.rebuild(body)
-        if isinstance(rebuilt, Failure):
-            self.node.metrics.count("configuration.bad_delta")
-            _, body = await self._pull_document(peer, "")
-            return body
-        return rebuilt.unwrap()
-
     async def _apply(self, offer: Offer, peer: int | None) -> bool:
         documents = {}
         for digest in offer.missing:
@@ -241,7 +201,7 @@
         """Return a chunk whose digest matches, from the peer or the platform."""
         if peer is not None:
             try:
-                _, body = await self._pull_document(peer, digest)
+                _, body = await self.documents.pull(peer, digest)
             except (LinkClosedError, zlib.error):
                 body = b""
             if body and digest_of(body) == digest:
@@ -258,32 +218,11 @@
             return None
         return body
 
-    async def _pull_document(
-        self, peer: int, chunk: str, have: str = ""
-    ) -> tuple[str, bytes]:
-        """Return the kind and body of a peer's document."""
-        link = await self.node.links.connect(peer)
-        number, queue = link.open_request()
-        try:
-            frame = link.new_frame()
-            pull = frame.init("pull")
-            pull.id = number
-            pull.chunk = chunk
-            pull.have = have
-            link.send(frame)
-            answer = await queue.get()
-            if answer is None:
-                raise LinkClosedError
-            document = answer["document"]
-            return document["kind"], _decompress(document["body"])
-        finally:
-            link.close_request(number)
-
     async def _pull_hosts(self) -> bytes:
         for parent in self.role.parents:
             try:
                 async with asyncio.timeout(PULL_TIMEOUT_S):
-                    _, document = await self._pull_document(parent, HOSTS_DOCUMENT)
+                    _, document = await self.documents.pull(parent, HOSTS_DOCUMENT)
             except (LinkClosedError, TimeoutError, zlib.error):
                 document = b""
             if document:
@@ -291,13 +230,13 @@
         return b""
 
     def _take_hosts(self, document: bytes) -> None:
-        if document == self.hosts_document:
+        if document == self.documents.hosts_document:
             return
         hosts = parse_hosts(document)
         if isinstance(hosts, Failure):
             self.node.metrics.count("platform.hosts_failed")
             return
-        self.hosts_document = document
+        self.documents.hosts_document = document
         self.node.hosts = hosts.unwrap()
         self._plan()
 
@@ -394,11 +333,3 @@
             interval = max(HOSTS_INTERVAL_S, entries / HOSTS_ENTRIES_PER_S)
             await asyncio.sleep(interval * (0.75 + self.rng.random() / 2))
             await self.refresh_hosts()
-
-
-def _decompress(body: bytes) -> bytes:
-    decompressor = zlib.decompressobj()
-    document = decompressor.decompress(body, MAX_DOCUMENT_SIZE)
-    if decompressor.unconsumed_tail:
-        raise zlib.error("document too large")
-    return document
