Start no work that expired while the process was paused

Cause: an agent counts a request's time from when it reads it. After a pause it read what had waited in its sockets as if it had just arrived, and ran orders whose callers had long been told that the outcome was unknown.

A pause is now noticed at the first datagram after it, and requests that are read within 0.3 s of it lose its length from their deadline: they are refused as not run if that leaves nothing. Relayed requests likewise.

--- a/benchmarks/_scenarios.py
+++ b/benchmarks/_scenarios.py
@@ -11,6 +11,7 @@
 ROLL_PAUSE_S = 1.0
 MAX_RECOVERY_S = 20.0
 SILENT_SHARE = 0.3
+FROZEN_S = 4.0
 
 
 async def steady(fleet: ProcessFleet) -> dict:
@@ -111,6 +112,17 @@
     return {"silenced_paths": silenced}
 
 
+async def frozen_processes(fleet: ProcessFleet) -> dict:
+    """Pause a balancer and an agent, one after the other, and let them go on."""
+    service = fleet.plan.services[0].name
+    for name in ("balancer-1", f"{service}-2"):
+        fleet.freeze(name, True)
+        await asyncio.sleep(FROZEN_S)
+        fleet.freeze(name, False)
+        await asyncio.sleep(SETTLE_S)
+    return {}
+
+
 async def stale_platform(fleet: ProcessFleet) -> dict:
     """Take a zone out while half of the balancers read a stale replica."""
     zone = fleet.plan.zones[2]
@@ -148,6 +160,7 @@
     "rolling-upstreams": rolling_upstreams,
     "cold-by-surprise": cold_by_surprise,
     "silent-flows": silent_flows,
+    "frozen-processes": frozen_processes,
     "stale-platform": stale_platform,
     "readers-killed": readers_killed,
 }
--- a/benchmarks/bench_agent.py
+++ b/benchmarks/bench_agent.py
@@ -29,6 +29,7 @@
 from plantainyoke.agent import _agent as agent_module  # noqa: E402
 from plantainyoke.agent import _connection  # noqa: E402
 from plantainyoke.configuration import AgentSettings  # noqa: E402
+from plantainyoke.node import PauseDetector  # noqa: E402
 from plantainyoke.quic import RoutedQuicConnection  # noqa: E402
 from plantainyoke.routing import (  # noqa: E402
     ConnectionIdCodec,
@@ -54,6 +55,7 @@
     """Answers every request at once."""
 
     request_timeout_s = 30.0
+    pauses = PauseDetector()
 
     async def serve(self, request, sink) -> None:
         await sink.start(200, [(b"content-length", b"2")])
--- a/plantainyoke/agent/_agent.py
+++ b/plantainyoke/agent/_agent.py
@@ -91,6 +91,7 @@
             records=self.records,
             metrics=node.metrics,
             is_leaving=self.is_leaving,
+            pauses=node.pauses,
             can_relay=can_relay,
         )
         self.listener = Listener(
@@ -274,6 +275,7 @@
                 raise Refusal(RefusalReason.WRONG_SERVICE)
             if self.is_leaving():
                 raise Refusal(RefusalReason.LEAVING)
+            request.deadline -= self.node.pauses.backlog_age(self.loop.time())
             await self.dispatcher.serve(request, sink)
 
         return execute
--- a/plantainyoke/agent/_connection.py
+++ b/plantainyoke/agent/_connection.py
@@ -205,8 +205,12 @@
             self.session, self.epoch = line
             if not self.fence(self, self.epoch, resume is not None):
                 raise Refusal(RefusalReason.FENCED)
+        now = self.loop.time()
         limit_s = self.dispatcher.request_timeout_s
-        return build_request(partial, resume, now=self.loop.time(), limit_s=limit_s)
+        request = build_request(partial, resume, now=now, limit_s=limit_s)
+        # After a pause it is not known when the request arrived: take the earliest.
+        request.deadline -= self.dispatcher.pauses.backlog_age(now)
+        return request
 
     def _refuse(self, stream_id: int, refusal: Refusal) -> None:
         self.metrics.count(f"refusal.sent.{refusal.reason.value}")
--- a/plantainyoke/agent/_dispatch.py
+++ b/plantainyoke/agent/_dispatch.py
@@ -15,6 +15,7 @@
 from plantainyoke.agent._siblings import Siblings
 from plantainyoke.agent._upstream import Upstream
 from plantainyoke.limits import DecayingRate, Refusal, RefusalReason, RetryBudget
+from plantainyoke.node import PauseDetector
 from plantainyoke.telemetry import Metrics
 
 MAX_PLACES = 3
@@ -36,6 +37,7 @@
     metrics : Metrics
     is_leaving : callable
         Tells whether this agent or its upstream leaves.
+    pauses : PauseDetector
     can_relay : bool, default=True
         False keeps every request on the local upstream; a baseline.
     """
@@ -49,6 +51,7 @@
         records: OnceRecords,
         metrics: Metrics,
         is_leaving: Callable[[], bool],
+        pauses: PauseDetector,
         can_relay: bool = True,
     ) -> None:
         self.upstream = upstream
@@ -57,6 +60,7 @@
         self.records = records
         self.metrics = metrics
         self.is_leaving = is_leaving
+        self.pauses = pauses
         self.can_relay = can_relay
         self.request_timeout_s = DEFAULT_TIMEOUT_S
         self.budget = RetryBudget()
--- a/plantainyoke/node/_clock.py
+++ b/plantainyoke/node/_clock.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 TICK_S = 0.25
-PAUSE_S = 1.5
+PAUSE_S = 1.0
+BACKLOG_S = 0.3  # time in which what waited in sockets is read after a pause
 
 
 class PauseDetector:
@@ -14,11 +15,14 @@
     ----------
     resumed_at : float
         Loop time at which the last pause ended.
+    gap_s : float
+        Length of that pause.
     """
 
     def __init__(self) -> None:
         self.listeners: list[Callable[[float], None]] = []
         self.resumed_at = float("-inf")
+        self.gap_s = 0.0
         self.last_tick = float("-inf")
 
     def check(self, now: float) -> bool:
@@ -28,10 +32,15 @@
         self.last_tick = now
         if paused:
             self.resumed_at = now
+            self.gap_s = gap
             for listener in self.listeners:
                 listener(gap)
         return paused
 
+    def backlog_age(self, now: float) -> float:
+        """Return for how long a datagram that is read now may have waited."""
+        return self.gap_s if now - self.resumed_at < BACKLOG_S else 0.0
+
     async def run(self) -> None:
         """Check at a fixed interval until cancelled."""
         loop = asyncio.get_running_loop()
--- a/plantainyoke/node/_node.py
+++ b/plantainyoke/node/_node.py
@@ -139,6 +139,7 @@
     def receive(self, datagram: bytes, source: Address) -> None:
         """Check one envelope and give it to its handler."""
         self.received_at = self.socket.loop.time()
+        self.pauses.check(self.received_at)
         try:
             generation, message = self.codec.decode(datagram)
         except AuthenticationError:
--- a/plantainyoke/tests/test_failures.py
+++ b/plantainyoke/tests/test_failures.py
@@ -1,6 +1,7 @@
 """What must always hold, while something fails."""
 
 import asyncio
+import time
 from collections import Counter
 
 import pytest
@@ -15,6 +16,7 @@
 
 LEFT_AFTER_S = 5.0  # a silent path is left within this
 SLOW_S = 0.6
+PAUSE_S = 2.5
 
 
 def _plan(network: str, *, targets: int = 3, **options) -> FleetPlan:
@@ -278,6 +280,33 @@
 
         run(scenario())
 
+    def test_work_that_expired_during_a_pause_is_never_started(
+        self, run, network, tmp_path
+    ):
+        """The process stands still while the request waits in its socket."""
+
+        async def scenario():
+            plan = _plan(network, targets=1)
+            async with EmbeddedFleet(plan, tmp_path) as fleet:
+                async with fleet.session("orders") as session:
+                    await session.request("POST", "/orders", key="before")
+                    fleet.fabrics["orders"].delay_s = 0.05
+                    late = asyncio.create_task(
+                        _outcome(
+                            session.request(
+                                "POST", "/orders", key="late", timeout_s=1.0
+                            )
+                        )
+                    )
+                    await asyncio.sleep(0.01)
+                    time.sleep(PAUSE_S)
+                    assert await late != "answered"
+                    await asyncio.sleep(1.0)
+                    await session.request("POST", "/orders", key="after")
+                assert _runs(fleet) == {"before": 1, "after": 1}
+
+        run(scenario())
+
     def test_cancellation_reaches_the_upstream(self, run, network, tmp_path):
         async def scenario():
             plan = _plan(network, targets=1)
