--- /dev/null
+++ b/plantainyoke/cli/tests/test_processes.py
@@ -0,0 +1,161 @@
+"""The programs as separate processes, over real sockets."""
+
+import asyncio
+import json
+import random
+import signal
+import sys
+from contextlib import AsyncExitStack
+
+from plantainyoke.configuration import FleetFile, ServiceFile, build_configuration
+from plantainyoke.standins import (
+    Fabric,
+    PlatformStandin,
+    UpstreamStandin,
+    write_certificate,
+)
+
+SERVER_NAME = "service.test"
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 30.0
+KEYS = {
+    "peer": ["00112233445566778899aabbccddeeff"],
+    "routing": [{"rotation": 0, "secret": "0f1e2d3c4b5a69788796a5b4c3d2e1f0"}],
+}
+
+
+class Programs:
+    """One balancer and one agent around stand-ins."""
+
+    def __init__(self, network: str, directory) -> None:
+        self.network = network
+        self.directory = directory
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.upstream = UpstreamStandin("orders-0")
+
+    async def start(self, stack: AsyncExitStack) -> None:
+        certificate, key = write_certificate(self.directory, SERVER_NAME)
+        await self.upstream.start((f"{self.network}.0.3", 9000), stack)
+        platform = PlatformStandin()
+        await platform.start((f"{self.network}.0.1", 8500), stack)
+        platform.publish(self.build())
+        address = f"{self.network}.0.2:7000"
+        platform.hosts = [{"address": address, "zone": "plateau", "role": "balancer"}]
+        fabric = Fabric((f"{self.network}.1.1", 4433), [100], random.Random(0))
+        fabric.open()
+        stack.callback(fabric.close)
+        await self.spawn("balancer", address, balancer={"service_port_offset": 100})
+        agent = {
+            "service": "orders",
+            "upstream": f"http://{self.network}.0.3:9000",
+            "certificate": str(certificate),
+            "private_key": str(key),
+        }
+        await self.spawn("agent", f"{self.network}.0.3:7000", agent=agent)
+
+    def build(self):
+        fleet = {
+            "generation": 4,
+            "zones": {"plateau": "in"},
+            "networks": [f"{self.network}.0.0/16"],
+        }
+        service = {
+            "service": "orders",
+            "address": f"{self.network}.1.1:4433",
+            "slots": 4,
+            "targets": [{"agent": f"{self.network}.0.3:7000", "zone": "plateau"}],
+        }
+        return build_configuration(
+            FleetFile.model_validate(fleet), [ServiceFile.model_validate(service)]
+        ).unwrap()
+
+    async def spawn(self, role: str, listen: str, **sections) -> None:
+        settings = {
+            "name": role,
+            "role": role,
+            "zone": "plateau",
+            "listen": listen,
+            "control": listen.replace(":7000", ":7100"),
+            "platform": f"http://{self.network}.0.1:8500",
+            "keys": KEYS,
+            **sections,
+        }
+        path = self.directory / f"{role}.yaml"
+        path.write_text(json.dumps(settings))
+        self.processes[role] = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "plantainyoke.cli.daemon"),
+            *("--settings", str(path)),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while (await self.control("status", role))[0] != 0:
+                await asyncio.sleep(0.1)
+
+    async def control(self, command: str, role: str, *arguments: str):
+        host = f"{self.network}.0.{2 if role == 'balancer' else 3}"
+        return await self.run(command, "--control", f"{host}:7100", *arguments)
+
+    async def run(self, *arguments: str) -> tuple[int, str, str]:
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "plantainyoke.cli.control", *arguments),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        out, err = await process.communicate()
+        return process.returncode, out.decode(), err.decode()
+
+    async def call(self, command: str, *arguments: str):
+        ca = str(self.directory / "certificate.pem")
+        return await self.run(
+            *(command, f"{self.network}.1.1:4433"),
+            *("--server-name", SERVER_NAME, "--ca", ca, *arguments),
+        )
+
+    async def stop(self) -> dict[str, tuple[int, str]]:
+        ended = {}
+        for role, process in self.processes.items():
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                _, err = await process.communicate()
+            ended[role] = process.returncode, err.decode()
+        return ended
+
+    def kill(self) -> None:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+
+
+class TestPrograms:
+    def test_serve_explain_and_stop(self, run, network, tmp_path):
+        async def scenario():
+            async with AsyncExitStack() as stack:
+                programs = Programs(network, tmp_path)
+                stack.callback(programs.kill)
+                await programs.start(stack)
+                code, out, err = await programs.call(
+                    "request", "POST", "/orders", "--body", "span 7", "--key", "k1"
+                )
+                assert code == 0, err
+                assert json.loads(out)["echo"] == "span 7"
+                code, out, _ = await programs.call("watch", "/events", "--count", "3")
+                ids = [int(line.split()[0]) for line in out.splitlines()]
+                assert code == 0
+                assert ids == list(range(ids[0], ids[0] + 3))
+                _, out, _ = await programs.control("status", "balancer")
+                assert json.loads(out)["generation"] == 4
+                _, out, _ = await programs.control("explain", "agent", "--key", "k1")
+                assert json.loads(out)["record"] == "done"
+                _, out, _ = await programs.control(
+                    *("explain", "balancer", "--service", "orders"),
+                    *("--connection-id", "0011223344556677"),
+                )
+                assert json.loads(out)["choice"] == f"{network}.0.3:7000"
+                for role, (code, log) in (await programs.stop()).items():
+                    assert code == 0, log
+                    assert f"event={role}_draining" in log
+                    odd = [x for x in log.splitlines() if not x.startswith("time=")]
+                    assert odd == []
+                assert programs.upstream.runs == {"k1": 1}
+
+        run(scenario())
