--- a/plantainyoke/standins/_fleet.py
+++ b/plantainyoke/standins/_fleet.py
@@ -18,7 +18,6 @@
     ServiceFile,
     Settings,
     build_configuration,
-    parse_index,
 )
 from plantainyoke.standins._certificate import write_certificate
 from plantainyoke.standins._fabric import Fabric
@@ -297,10 +296,6 @@
             member.role.node.metrics.counters[name] for member in self.members.values()
         )
 
-    def previous_index(self):
-        """Return the published index."""
-        return parse_index(self.platform.published.index).unwrap()
-
     def _open_fabric(self, service: ServicePlan, number: int) -> None:
         offsets = [OFFSET_STEP * (i + 1) for i in range(self.plan.balancers)]
         rng = random.Random(self.seed + number)
