Check networks and build resets of flows in one place each

The check of an IPv4 network stood in the service files and in the documents; both now use the validation module's. Balancer and agent each picked the key by a connection ID's rotation bits, derived the token and built the reset; both now call one function.

--- a/plantainyoke/agent/_listener.py
+++ b/plantainyoke/agent/_listener.py
@@ -13,8 +13,7 @@
 from plantainyoke.quic import (
     NO_ERROR,
     RoutedQuicConnection,
-    build_stateless_reset,
-    derive_reset_token,
+    build_flow_reset,
 )
 from plantainyoke.routing import (
     CONNECTION_ID_SIZE,
@@ -286,9 +285,9 @@
             return
         if self.codec.decode(connection_id) != self.target:
             return
-        secret = self.reset_secrets[connection_id[0] >> 5]
-        token = derive_reset_token(secret, connection_id)
-        reset = build_stateless_reset(token, len(forward.payload))
+        reset = build_flow_reset(
+            self.reset_secrets, connection_id, len(forward.payload)
+        )
         if reset is None:
             return
         reply = Reply(forward.client, self.service_id, reset)
--- a/plantainyoke/balancer/_balancer.py
+++ b/plantainyoke/balancer/_balancer.py
@@ -16,7 +16,7 @@
     Node,
     build_node,
 )
-from plantainyoke.quic import build_stateless_reset, derive_reset_token
+from plantainyoke.quic import build_flow_reset
 from plantainyoke.routing import CONNECTION_ID_SIZE, ConnectionIdCodec
 from plantainyoke.telemetry import log_event
 from plantainyoke.wire import (
@@ -233,9 +233,7 @@
         if datagram[0] & 0x80:
             return
         connection_id = datagram[1 : 1 + CONNECTION_ID_SIZE]
-        secret = self.routing_keys[connection_id[0] >> 5]
-        token = derive_reset_token(secret, connection_id)
-        reset = build_stateless_reset(token, len(datagram))
+        reset = build_flow_reset(self.routing_keys, connection_id, len(datagram))
         if reset is not None:
             self.node.metrics.count("balancer.flow_reset")
             self.sockets[service_id].send(reset, source)
--- a/plantainyoke/configuration/_documents.py
+++ b/plantainyoke/configuration/_documents.py
@@ -1,14 +1,13 @@
 """Published documents: one index and chunks of services."""
 
 import hashlib
-import ipaddress
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, Field, ValidationError
+from pydantic import Field, ValidationError
 from returns.result import Failure, Result, Success
 
 from plantainyoke.configuration._errors import DocumentError
-from plantainyoke.configuration._validation import StrictModel
+from plantainyoke.configuration._validation import NetworkText, StrictModel
 
 MAX_VALUE_SIZE = 1_000_000  # bytes; the platform refuses larger values
 DIGEST_PATTERN = r"^[0-9a-f]{64}$"
@@ -17,11 +16,6 @@
 Digest = Annotated[str, Field(pattern=DIGEST_PATTERN)]
 
 
-def _check_network(text: str) -> str:
-    ipaddress.IPv4Network(text)
-    return text
-
-
 class Index(StrictModel):
     """The root of one generation.
 
@@ -39,7 +33,7 @@
     format: Literal[1] = DOCUMENT_FORMAT
     generation: int = Field(ge=1, lt=1 << 63)
     zones: dict[str, Literal["in", "out"]]
-    networks: list[Annotated[str, AfterValidator(_check_network)]]
+    networks: list[NetworkText]
     chunks: list[Digest] = Field(min_length=1)
 
 
--- a/plantainyoke/configuration/_service_files.py
+++ b/plantainyoke/configuration/_service_files.py
@@ -4,13 +4,14 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, Field
+from pydantic import Field
 from returns.result import Failure, Result, Success
 
 from plantainyoke.configuration._errors import Fault, FaultsError
 from plantainyoke.configuration._validation import (
     NAME_PATTERN,
     AddressText,
+    NetworkText,
     StrictModel,
     read_model,
 )
@@ -23,14 +24,6 @@
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 
 
-def _check_network(text: str) -> str:
-    ipaddress.IPv4Network(text)
-    return text
-
-
-NetworkText = Annotated[str, AfterValidator(_check_network)]
-
-
 class FleetFile(StrictModel):
     """What all services share.
 
--- a/plantainyoke/configuration/_validation.py
+++ b/plantainyoke/configuration/_validation.py
@@ -1,5 +1,6 @@
 """Reading YAML files into validated models."""
 
+import ipaddress
 from pathlib import Path
 from typing import Annotated, TypeVar
 
@@ -27,7 +28,14 @@
     return text
 
 
+def check_network(text: str) -> str:
+    """Validate an IPv4 network such as ``"10.0.0.0/8"`` and return it unchanged."""
+    ipaddress.IPv4Network(text)
+    return text
+
+
 AddressText = Annotated[str, AfterValidator(check_address)]
+NetworkText = Annotated[str, AfterValidator(check_network)]
 
 
 class _UniqueKeyLoader(yaml.SafeLoader):
--- a/plantainyoke/quic/_extensions.py
+++ b/plantainyoke/quic/_extensions.py
@@ -10,7 +10,7 @@
 
 import hmac
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from aioquic.buffer import encode_uint_var
 from aioquic.h3.connection import FrameType, H3Connection, encode_frame
@@ -29,6 +29,7 @@
 MINIMUM_RESET_SIZE = 21
 MAX_RESET_SIZE = 40
 MAX_ACTIVE_CONNECTION_IDS = 4
+ROTATION_SHIFT = 5  # as in the connection IDs of QUIC-LB
 
 
 def derive_reset_token(secret: bytes, connection_id: bytes) -> bytes:
@@ -50,6 +51,26 @@
     return bytes(filler) + token
 
 
+def build_flow_reset(
+    secrets: Mapping[int, bytes], connection_id: bytes, received_size: int
+) -> bytes | None:
+    """Return the stateless reset of a routed flow.
+
+    Parameters
+    ----------
+    secrets : mapping of int to bytes
+        Routing secrets by rotation.
+    connection_id : bytes
+        Its first octet holds the rotation of the key that issued it.
+    received_size : int
+        Bytes of the packet that is answered; None is returned if too few.
+    """
+    secret = secrets[connection_id[0] >> ROTATION_SHIFT]
+    return build_stateless_reset(
+        derive_reset_token(secret, connection_id), received_size
+    )
+
+
 class RoutedQuicConnection(QuicConnection):
     """A server connection whose connection IDs come from ``issue``.
 
