Let an agent without a catalogue claim nothing about flows

Cause: an agent that starts while its links to the store and to its sources are slow gets FIND before its first catalogue. It searched among all agents that it knew, which was itself alone, and reset the flow because "everybody" had denied it. Ruled out: a wrong hint and a silent candidate; the flow was found by two other agents a second earlier. The stand-ins number requests, so that a late copy of an answer is not taken for the next one, and keep sending for as long as the users' ends do. A process test read the holder before the end of the handshake had arrived there; it now waits for it.

--- a/plantainyoke/packet_agent/_finder.py
+++ b/plantainyoke/packet_agent/_finder.py
@@ -179,6 +179,11 @@
     ) -> None:
         """Send a packet to every agent that may hold its flow."""
         flow = segment.flow
+        if not self.catalogue.revision:
+            # Who knows no other agent can neither ask nor rule them out. The balancer
+            # tries another agent when this one stays silent.
+            self.metrics.counters["find.not_loaded"] += 1
+            return
         search = self.searches.find(flow, now)
         if search is None:
             candidates, complete = self._search_candidates(flow)
--- a/plantainyoke/packet_agent/tests/test_finder.py
+++ b/plantainyoke/packet_agent/tests/test_finder.py
@@ -51,3 +51,17 @@
         for home in held.homes:
             if home != agent.host:
                 assert world.agent(home).finder.homes.find(caller.flow) == agent.host
+
+
+class TestSearches:
+    def test_agent_without_a_catalogue_does_not_claim_that_nobody_holds_a_flow(self):
+        world = PacketWorld({"orders": 6})
+        callers = [world.open_flow() for _ in range(40)]
+        world.run(0.3)
+        world.restart(*world.processes)
+        world.start_agent(12, loaded=False)
+        for caller in callers:
+            caller.ask()
+        world.run(2.0)
+        assert [caller.reset_at for caller in callers] == [None] * len(callers)
+        assert all(caller.answered for caller in callers)
--- a/plantainyoke/standins/_packet_world.py
+++ b/plantainyoke/standins/_packet_world.py
@@ -36,7 +36,8 @@
 HOP_S = 0.0004  # between two processes of one zone
 CROSS_S = 0.0035  # between zones
 SERVE_S = 0.04
-RETRANSMIT_S = (0.2, 0.4, 0.8, 1.6)
+RETRANSMIT_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6)  # as the users' ends do
+REQUEST, ANSWER = b"request ", b"answer "
 COPIES_S = (0.2, 0.6)
 SERVICE_HOST = 0xC6120001  # 198.18.0.1
 CALLER_HOST = 0x64400007  # 100.64.0.7
@@ -106,6 +107,11 @@
         self.flows.clear()
         self.pending.clear()
 
+    def crash(self) -> None:
+        """End; nothing is said to anybody."""
+        self.restart()
+        self.alive = False
+
     def _accept(self, flow: FlowKey, packet: bytes) -> None:
         if not self.accepts:
             self._bounce(packet)
@@ -120,7 +126,7 @@
                     flow,
                     ACK,
                     acknowledged=segment.sequence + segment.payload_size,
-                    payload=b"answer",
+                    payload=ANSWER + segment.raw[HEADER.size + len(REQUEST) :],
                     from_target=True,
                 )
             )
@@ -166,8 +172,9 @@
             self.opened = True
             self.acknowledged = int.from_bytes(packet[14:18], "big") + 1
             self.world.route(self._write(b""))
-        elif len(packet) > HEADER.size and self.answered < self.asked:
-            self.answered += 1
+        elif len(packet) > HEADER.size:
+            number = int(packet[HEADER.size + len(ANSWER) :])
+            self.answered = max(self.answered, number)
 
     def _send_first(self) -> None:
         if not self.opened and self.reset_at is None:
@@ -176,7 +183,7 @@
     def _transmit(self, number: int, attempt: int) -> None:
         if self.answered >= number or self.reset_at is not None:
             return
-        self.world.route(self._write(b"request"))
+        self.world.route(self._write(REQUEST + str(number).encode()))
         if attempt < len(RETRANSMIT_S):
             delay = RETRANSMIT_S[attempt]
             self.world.at(delay, lambda: self._transmit(number, attempt + 1))
@@ -284,9 +291,20 @@
         self._run(host, catalogue, steering)
         return steering
 
-    def start_agent(self, host: int, *, first_start: bool = False) -> Delivery:
-        """Start an agent that remembers nothing."""
-        catalogue = self._new_catalogue()
+    def start_agent(
+        self, host: int, *, first_start: bool = False, loaded: bool = True
+    ) -> Delivery:
+        """Start an agent that remembers nothing.
+
+        Parameters
+        ----------
+        host : int
+        first_start : bool, default=False
+            Whether its target cannot hold flows from before.
+        loaded : bool, default=True
+            Whether it knows what is published; if not, the next change tells it.
+        """
+        catalogue = self._new_catalogue() if loaded else Catalogue()
         gate = Gate(catalogue, host, 1.0, ColdTolerance(1.5, 5))
         delivery = Delivery(
             host=host,
--- a/plantainyoke/tests/test_packet_processes.py
+++ b/plantainyoke/tests/test_packet_processes.py
@@ -85,6 +85,8 @@
             await asyncio.sleep(1.0)
             await _ask_all(site, callers)
             fresh = await _open(site, 20)
+            # A caller counts as open before its target has the end of the handshake.
+            await _until(lambda: all(site.holder_of(one) for one in fresh))
             holders = [site.machines[site.holder_of(one)] for one in fresh]
             assert {(one.service, one.zone) for one in holders} == {("drawings", "b")}
 
