Survive a reload signal while a program starts

Cause: until the event loop had its own handler, SIGHUP had its default effect. Change: the signal is ignored from the first line of the program on; settings are read after that, so nothing is lost. The interpreter's own start, some 10 ms, stays unprotected.

--- a/plantainyoke/cli/daemon.py
+++ b/plantainyoke/cli/daemon.py
@@ -5,6 +5,7 @@
 are imported: a restart is an outage of the host it happens on.
 """
 
+import signal
 import sys
 
 PACKET_ROLES = ("balancer", "agent")
@@ -12,6 +13,9 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon and return its exit code."""
+    # A changed settings file is read by a program that starts anyway; without this
+    # the signal would end it until its own handler stands.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     words = sys.argv[1:] if arguments is None else arguments
     if words[:1] and words[0] in PACKET_ROLES:
         from plantainyoke.cli.packet_daemon import main as run
