End the tasks of accepted connections quietly

Cause: asyncio.start_server makes a task of a coroutine function and reports an error when that task is cancelled, so each planned stop wrote tracebacks of several lines. Change: serve_connections runs a task for each connection that ends with the stack; failures are counted and logged as for any task. Before: the new test sees an error with start_server(serve); after: none.

--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -98,7 +98,7 @@
         self.metrics = metrics
         self.jitter = jitter
         self.editor = CatalogueEditor()
-        self.server = CatalogueServer(catalogue.snapshot, self.told_age_s)
+        self.server = CatalogueServer(catalogue.snapshot, self.told_age_s, metrics)
         self.is_failing = False
         self.reads = True
         self.loaded = asyncio.Event()
--- a/plantainyoke/catalogue/_links.py
+++ b/plantainyoke/catalogue/_links.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from plantainyoke.catalogue._types import Change
-from plantainyoke.network import Address
-from plantainyoke.telemetry import log_event
+from plantainyoke.network import Address, serve_connections
+from plantainyoke.telemetry import Metrics, log_event
 
 ALIVE_INTERVAL_S = 0.5
 CONNECT_TIMEOUT_S = 0.4  # round trips across zones take some 10 ms
@@ -109,19 +109,23 @@
         Returns everything as one `Change`.
     age_s : callable
         Returns the time since the store confirmed the view.
+    metrics : Metrics
     """
 
     def __init__(
-        self, snapshot: Callable[[], Change], age_s: Callable[[], float]
+        self,
+        snapshot: Callable[[], Change],
+        age_s: Callable[[], float],
+        metrics: Metrics,
     ) -> None:
+        self.metrics = metrics
         self.snapshot = snapshot
         self.age_s = age_s
         self.subscribers: dict[asyncio.StreamWriter, int] = {}
 
     async def listen(self, address: Address, stack: AsyncExitStack) -> None:
         """Accept subscribers until the stack closes."""
-        server = await asyncio.start_server(self._serve, *address)
-        stack.callback(server.close)
+        await serve_connections(self._serve, address, stack, metrics=self.metrics)
         stack.callback(self._close_all)
 
     def publish(self, change: Change) -> None:
--- a/plantainyoke/network/__init__.py
+++ b/plantainyoke/network/__init__.py
@@ -10,6 +10,7 @@
     parse_address,
     unpack_address,
 )
+from plantainyoke.network._connections import serve_connections
 from plantainyoke.network._datagrams import DatagramSocket
 from plantainyoke.network._http import HttpClient, HttpError, HttpServer, Response
 
@@ -26,5 +27,6 @@
     "host_text",
     "pack_address",
     "parse_address",
+    "serve_connections",
     "unpack_address",
 ]
--- a/plantainyoke/network/_http.py
+++ b/plantainyoke/network/_http.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from plantainyoke.network._address import Address, format_address
-from plantainyoke.telemetry import log_event
+from plantainyoke.network._connections import serve_connections
+from plantainyoke.telemetry import Metrics, log_event
 
 READ_SIZE = 65_536
 MAX_BODY_SIZE = 4 * 1024 * 1024
@@ -153,15 +154,16 @@
     ----------
     handlers : dict of str to callable
         Each is called with the query parameters and returns a `Response`.
+    metrics : Metrics
     """
 
-    def __init__(self, handlers: dict[str, Handler]) -> None:
+    def __init__(self, handlers: dict[str, Handler], metrics: Metrics) -> None:
         self.handlers = handlers
+        self.metrics = metrics
 
     async def listen(self, address: Address, stack: AsyncExitStack) -> None:
         """Accept connections until the stack closes."""
-        server = await asyncio.start_server(self._serve, *address)
-        stack.callback(server.close)
+        await serve_connections(self._serve, address, stack, metrics=self.metrics)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- /dev/null
+++ b/plantainyoke/network/tests/test_connections.py
@@ -0,0 +1,67 @@
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+
+from plantainyoke.network import serve_connections
+from plantainyoke.telemetry import Metrics
+
+PORT = 9200
+
+
+@pytest.fixture
+def play(run, network):
+    """Return a function that runs a scenario and returns what the loop reported."""
+
+    def _play(serve, scenario):
+        reported = []
+        metrics = Metrics()
+
+        async def main():
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: reported.append(context))
+            address = f"{network}.0.1", PORT
+            async with AsyncExitStack() as stack:
+                await serve_connections(serve, address, stack, metrics=metrics)
+                await scenario(address)
+            await asyncio.sleep(0.01)
+
+        run(main())
+        return reported, metrics
+
+    return _play
+
+
+class TestServeConnections:
+    def test_open_connections_end_quietly_with_the_stack(self, play):
+        async def serve(reader, writer):
+            writer.write(b"x")
+            await asyncio.sleep(3600)
+
+        async def scenario(address):
+            reader, _ = await asyncio.open_connection(*address)
+            await reader.readexactly(1)
+
+        reported, metrics = play(serve, scenario)
+        assert reported == []
+        assert not metrics.counters["task.failed"]
+
+    def test_failure_is_counted_and_others_are_served(self, play):
+        answers = []
+
+        async def serve(reader, writer):
+            if not answers:
+                answers.append(b"")
+                writer.close()
+                raise ValueError("broken")
+            writer.write(b"x")
+
+        async def scenario(address):
+            reader, _ = await asyncio.open_connection(*address)
+            assert await reader.read() == b""
+            reader, _ = await asyncio.open_connection(*address)
+            answers.append(await reader.readexactly(1))
+
+        _, metrics = play(serve, scenario)
+        assert answers == [b"", b"x"]
+        assert metrics.counters["task.failed"] == 1
--- a/plantainyoke/network/tests/test_http.py
+++ b/plantainyoke/network/tests/test_http.py
@@ -4,6 +4,7 @@
 import pytest
 
 from plantainyoke.network import HttpClient, HttpError, HttpServer, Response
+from plantainyoke.telemetry import Metrics
 
 PORT = 18_900
 
@@ -16,7 +17,7 @@
                 "/ready": lambda _: Response(503),
                 "/echo": lambda query: Response(200, query.get("x", "").encode()),
             }
-            await HttpServer(handlers).listen(address, stack)
+            await HttpServer(handlers, Metrics()).listen(address, stack)
             await scenario(address)
 
     run(main())
--- a/plantainyoke/packet_node/_node.py
+++ b/plantainyoke/packet_node/_node.py
@@ -117,10 +117,10 @@
             jitter=draw_jitter,
         )
         await self.follower.server.listen(links, self.stack)
-        server = HttpServer(handlers)
+        server = HttpServer(handlers, self.metrics)
         await server.listen(settings.ready, self.stack)
         queries = {path: self._wrap(query) for path, query in self.queries.items()}
-        server = HttpServer({**handlers, **queries})
+        server = HttpServer({**handlers, **queries}, self.metrics)
         await server.listen((settings.ip, METRICS_PORT), self.stack)
 
     async def load(self) -> None:
