--- a/plantainyoke/telemetry/_logging.py
+++ b/plantainyoke/telemetry/_logging.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import time
 from collections.abc import Mapping
 
 from pythonjsonlogger.core import BaseJsonFormatter
@@ -14,6 +15,11 @@
 class KeyValueFormatter(BaseJsonFormatter):
     """Formats the fields of a record as ``key=value`` pairs on one line."""
 
+    def formatTime(self, record, datefmt=None) -> str:  # noqa: N802
+        """Return the record's time in UTC, in milliseconds."""
+        seconds = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        return f"{seconds}.{int(record.msecs):03d}Z"
+
     def jsonify_log_record(self, log_data: Mapping) -> str:
         """Return the line of one record."""
         return " ".join(
@@ -54,7 +60,6 @@
         KeyValueFormatter(
             "{asctime}{levelname}{message}",
             style="{",
-            datefmt="%Y-%m-%dT%H:%M:%S%z",
             rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
             static_fields={"process": process},
         )
--- a/plantainyoke/telemetry/tests/test_telemetry.py
+++ b/plantainyoke/telemetry/tests/test_telemetry.py
@@ -1,7 +1,14 @@
+import io
 import logging
 import os
+import re
 
-from plantainyoke.telemetry import Metrics, format_metrics
+from plantainyoke.telemetry import (
+    Metrics,
+    configure_logging,
+    format_metrics,
+    log_event,
+)
 from plantainyoke.telemetry._bounded import (
     BURST_LINES,
     LINES_PER_S,
@@ -66,6 +73,19 @@
         os.close(writer)
 
 
+class TestConfigureLogging:
+    def test_line_has_milliseconds_fields_and_no_line_breaks(self):
+        stream = io.StringIO()
+        configure_logging(level="info", process="agent-1", stream=stream)
+        log_event("entry_unusable", key='a "b"\nc', nothing=None)
+        (line,) = stream.getvalue().splitlines()
+        assert re.fullmatch(
+            r"time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z level=INFO "
+            r'event=entry_unusable process=agent-1 key="a \\"b\\" c"',
+            line,
+        )
+
+
 class TestMetrics:
     def test_text_format(self):
         metrics = Metrics()
