Compare the target's entry with the service the agent was started beside

Cause: an address goes to a target of another service before the old target's entry has lapsed. The new agent took the old entry for its own target's and, once the new target listened, gave it flows of the old service. Ruled out: a stale view of the balancer; the agent itself checked the service, against the wrong entry. Change: the settings name the service of the target beside an agent; an entry of another service is not its target's.

--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -33,6 +33,7 @@
             settings.host,
             settings.heartbeat_s,
             ColdTolerance(settings.cold_factor, settings.cold_extra_per_s),
+            settings.service,
         )
         self.zone_was_out = False
         self.started_at = node.loop.time()
--- a/plantainyoke/placement/_gate.py
+++ b/plantainyoke/placement/_gate.py
@@ -70,6 +70,8 @@
     heartbeat_s : float
         Interval in which the target renews its entry.
     tolerance : ColdTolerance
+    service : str
+        Service of the target that the process was started beside, empty if unknown.
     leaving : bool
         Whether this process is stopping.
     cold_until : float
@@ -83,6 +85,7 @@
     host: int
     heartbeat_s: float
     tolerance: ColdTolerance
+    service: str = ""
     leaving: bool = False
     cold_until: float = 0.0
     unanswered_since: float = 0.0
@@ -92,8 +95,14 @@
 
     @property
     def target(self) -> Target | None:
-        """The target beside this agent, None if it is not registered."""
-        return self.catalogue.by_host.get(self.host)
+        """The target beside this agent, None if it is not registered.
+
+        An address that another service had before may still have that one's entry.
+        """
+        target = self.catalogue.by_host.get(self.host)
+        if target is not None and self.service not in ("", target.service):
+            return None
+        return target
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the target bears little load."""
--- a/plantainyoke/placement/tests/test_placement.py
+++ b/plantainyoke/placement/tests/test_placement.py
@@ -156,6 +156,13 @@
         service = service_identifier("drawings")
         assert _check(_gate(), service=service) == Refusal.SERVICE
 
+    def test_entry_of_an_earlier_target_of_the_address(self):
+        gate = _gate()
+        gate.service = "drawings"
+        assert _check(gate) == Refusal.UNVERIFIED
+        service = service_identifier("drawings")
+        assert _check(gate, service=service) == Refusal.UNVERIFIED
+
     def test_zone_out(self):
         gate = _gate()
         gate.catalogue.apply(Change(1, 2, zones_out=("a",)), 0.0)
--- a/plantainyoke/tests/test_packet_flows.py
+++ b/plantainyoke/tests/test_packet_flows.py
@@ -26,6 +26,18 @@
     assert all(caller.answered == caller.asked for caller in callers)
 
 
+class TestReusedAddress:
+    def test_new_target_gets_nothing_meant_for_the_one_before(self):
+        world = PacketWorld({"orders": 2, "drawings": 1})
+        gate = world.start_agent(10).gate
+        gate.service = "drawings"  # the entry of the earlier target still stands
+        callers = _open(world, 20)
+        _ask_all(world, callers)
+        _assert_all_served(callers)
+        assert not world.targets[10].pending
+        assert not world.targets[10].opened
+
+
 class TestOpening:
     def test_flows_spread_over_targets(self):
         world = PacketWorld({"orders": 6})
