Add a fault soak of the real programs

The programs run as processes behind a loopback proxy that loses, delays, cuts one way, resets and silences; processes are killed, stopped, paused, kept down and told to reload by signals, in series that overlap; a witness judges what callers and targets see. Seeds that failed are kept with their causes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: help setup test lint format demo demo-quic benchmark clean
+.PHONY: help setup test lint format demo demo-quic soak benchmark clean
 
 help:
 	@echo "make demo       run the packet path as processes on stand-ins"
@@ -10,6 +10,7 @@
 	@echo "make test       run all tests"
 	@echo "make lint       check formatting and lint"
 	@echo "make format     format the code"
+	@echo "make soak       run the packet path under random faults, about 5 minutes"
 	@echo "make benchmark  run the benchmarks and write their results"
 
 $(VENV)/.installed: pyproject.toml
@@ -36,6 +37,9 @@
 demo-quic: setup
 	$(BIN)/plantainyokectl demo-quic
 
+soak: setup
+	$(BIN)/python -m soak --seeds 1-12 --jobs 3
+
 benchmark: setup
 	$(BIN)/pip install --quiet --editable ".[benchmark]"
 	$(BIN)/python benchmarks/bench_forwarding.py
--- a/plantainyoke/standins/_packet_site.py
+++ b/plantainyoke/standins/_packet_site.py
@@ -30,6 +30,7 @@
 SERVICE_IP, SERVICE_PORT = "198.18.0.1", 443
 READY_TIMEOUT_S = 10.0
 HEARTBEAT_MS = 400
+COLD_START_S = 1.0
 ROUTER_PROBE_S = 0.25
 
 
@@ -46,6 +47,7 @@
     def __init__(self, ip: str) -> None:
         self.ip = ip
         self.revision = 1
+        self.oldest = 0
         self.items: dict[str, dict] = {}
         self.log: list[dict] = []
         self.changed = asyncio.Event()
@@ -64,12 +66,27 @@
 
     def put(self, key: str, document: dict) -> None:
         """Write a key."""
+        self.put_bytes(key, json.dumps(document).encode())
+
+    def put_bytes(self, key: str, content: bytes) -> None:
+        """Write a key with any content."""
         self.revision += 1
-        value = base64.b64encode(json.dumps(document).encode()).decode()
+        value = base64.b64encode(content).decode()
         item = {"key": key, "value": value, "revision": self.revision}
         self.items[key] = item
         self._record(item)
 
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._record({"key": key, "revision": self.revision, "deleted": True})
+
+    def discard_history(self) -> None:
+        """Forget all changes so far."""
+        self.oldest = self.revision
+        self.log.clear()
+
     def _record(self, event: dict) -> None:
         self.log.append(event)
         self.changed.set()
@@ -96,6 +113,8 @@
         if refused is not None:
             return refused
         after = int(request.query["after"])
+        if after < self.oldest:
+            return web.Response(status=410)
         if after == self.revision:
             try:
                 async with asyncio.timeout(int(request.query["waitMs"]) / 1000):
@@ -108,13 +127,32 @@
 
 @dataclass
 class Machine:
-    """One machine and the process of ours on it."""
+    """One machine and the process of ours on it.
+
+    Attributes
+    ----------
+    messages_port : int
+        Where the process receives messages, and where it sends those to others.
+    store_ip : str
+        Where the process reaches the store, empty for the store itself.
+    entry : str
+        Name of its target's entry.
+    born_ms : int
+        Start of its target, by the target's clock.
+    cold_until : float
+        Time up to which its target is cold.
+    """
 
     name: str
     role: str
     ip: str
     zone: str
     service: str = ""
+    messages_port: int = MESSAGES_PORT
+    store_ip: str = ""
+    entry: str = ""
+    born_ms: int = 1
+    cold_until: float = 0.0
     process: subprocess.Popen | None = None
 
 
@@ -130,12 +168,15 @@
         Number of targets by service.
     balancers : int
     zones : tuple of str
+    cold_flows_per_s : float
+        New flows that a target in cold start bears.
     """
 
     network: str
     services: dict[str, int] = field(default_factory=lambda: {"orders": 4})
     balancers: int = 2
     zones: tuple[str, ...] = ("a", "b")
+    cold_flows_per_s: float = 0.0
 
 
 class PacketSite:
@@ -271,7 +312,12 @@
             "trafficSplit": shares,
         }
         services = [
-            {"name": name, "maxConns": 2000, "coldStartS": 1.0}
+            {
+                "name": name,
+                "maxConns": 2000,
+                "coldStartS": COLD_START_S,
+                "coldPerS": self.plan.cold_flows_per_s,
+            }
             for name in self.plan.services
         ]
         limits = {"idleTimeoutMs": 12_000}
@@ -289,15 +335,15 @@
         """Write a target's entry."""
         machine = self.machines[name]
         self.store.put(
-            f"servers/t-{name}",
+            f"servers/{machine.entry}",
             {
                 "service": machine.service,
                 "address": f"{machine.ip}:{TARGET_PORT}",
                 "zone": machine.zone,
                 "slots": 4,
                 "state": state,
-                "coldLeftMs": 0,
-                "born": 1,
+                "coldLeftMs": max(0, round((machine.cold_until - self.now) * 1000)),
+                "born": machine.born_ms,
             },
         )
 
@@ -323,13 +369,19 @@
         """Return the machine whose target holds a flow."""
         for host, target in self.targets.items():
             if caller.flow in target.flows:
-                return next(
-                    name
-                    for name, machine in self.machines.items()
-                    if machine.ip == host_text(host)
-                )
+                return self.machine_of(host).name
         return None
 
+    def machine_of(self, host: int) -> Machine:
+        """Return the machine with an address."""
+        ip = host_text(host)
+        return next(one for one in self.machines.values() if one.ip == ip)
+
+    def caller_of(self, packet: bytes) -> FakeCaller | None:
+        """Return the caller to which a packet is addressed."""
+        flow = packet[32:36] + packet[30:32] + packet[28:30] + packet[24:28]
+        return self.callers.get(flow)
+
     def at(self, delay: float, call: Callable[[], None]) -> None:
         """Call a function after a delay."""
         self.loop.call_later(delay, call)
@@ -346,21 +398,28 @@
         """Send a target's packet to the agent beside it."""
         self.target_sockets[host].send(packet, (host_text(host), OUTBOUND_PORT))
 
+    def _receive_target(self, host: int, packet: bytes) -> None:
+        self.targets[host].receive(packet)
+
     def _receive_caller(self, packet: bytes, source: tuple[str, int]) -> None:
-        flow = packet[32:36] + packet[30:32] + packet[28:30] + packet[24:28]
-        caller = self.callers.get(flow)
+        caller = self.caller_of(packet)
         if caller is not None:
             caller.receive(packet)
 
-    def _start_target(self, machine: Machine) -> None:
+    def create_target(self, machine: Machine) -> FakeTarget:
+        """Put a target that holds nothing on a machine."""
         host = host_number(machine.ip)
         entry = Target(
-            machine.name, machine.service, host, TARGET_PORT, machine.zone, 4
+            machine.entry, machine.service, host, TARGET_PORT, machine.zone, 4
         )
         target = self.targets[host] = FakeTarget(self, host, entry)
+        return target
+
+    def _start_target(self, machine: Machine) -> None:
+        host = self.create_target(machine).host
         self.target_sockets[host] = DatagramSocket(
             (machine.ip, TARGET_PORT),
-            lambda packet, source: target.receive(packet),
+            lambda packet, source: self._receive_target(host, packet),
             Metrics(),
         )
         self.stack.callback(self.target_sockets[host].close)
@@ -370,7 +429,8 @@
         self, name: str, role: str, suffix: str, zone: str, service: str = ""
     ) -> None:
         ip = f"{self.plan.network}.{suffix}"
-        self.machines[name] = Machine(name, role, ip, zone, service)
+        machine = Machine(name, role, ip, zone, service, entry=f"t-{name}")
+        self.machines[name] = machine
 
     async def _run_router(self) -> None:
         names = [name for name, one in self.machines.items() if one.role == "balancer"]
@@ -390,7 +450,7 @@
             f'ip = "{machine.ip}"',
             f'zone = "{machine.zone}"',
             'region = "r"',
-            f"internalPorts = [{MESSAGES_PORT}, {MESSAGES_PORT + 15}]",
+            f"internalPorts = [{machine.messages_port}, {machine.messages_port + 15}]",
             f"seeds = {json.dumps(seeds)}",
             f"bootstrap = {json.dumps(self.bootstrap)}",
             f"heartbeatMs = {HEARTBEAT_MS}",
@@ -407,7 +467,7 @@
             "[bounds]",
             "graceS = 3",
             "[platform]",
-            f'address = "{self.store.ip}:{STORE_PORT}"',
+            f'address = "{machine.store_ip or self.store.ip}:{STORE_PORT}"',
         ]
         return "\n".join(lines) + "\n"
 
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,86 @@
+"""Soak the packet path: ``python -m soak --seeds 1-50 --jobs 4``.
+
+Prints a line for each seed and ends with 1 if a promise did not hold. Logs of failed
+seeds stay in ``--keep``.
+"""
+
+import argparse
+import asyncio
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+import uvloop
+
+from soak._cases import load_cases
+from soak._run import SoakOptions, run_seed
+
+FIRST_NETWORK = 240  # of the loopback networks; tests use those below
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
+    parser.add_argument("--seeds", default="1-4", help="N, or FIRST-LAST")
+    parser.add_argument("--cases", action="store_true", help="seeds that once failed")
+    parser.add_argument("--jobs", type=int, default=1, help="seeds at the same time")
+    parser.add_argument("--balancers", type=int, default=3)
+    parser.add_argument("--agents", type=int, default=8)
+    parser.add_argument("--series", type=int, default=2, help="series of faults")
+    parser.add_argument("--faults", type=int, default=7, help="faults of a series")
+    parser.add_argument("--keep", type=Path, default=Path("soak-failures"))
+    return parser
+
+
+async def run_all(options: argparse.Namespace, seeds: list[int]) -> int:
+    """Run seeds, some at the same time; return how many failed."""
+    waiting = list(reversed(seeds))
+
+    async def work(job: int) -> int:
+        failed = 0
+        while waiting:
+            seed = waiting.pop()
+            failed += await _run_one(options, seed, f"127.{FIRST_NETWORK + job}")
+        return failed
+
+    return sum(await asyncio.gather(*(work(job) for job in range(options.jobs))))
+
+
+async def _run_one(options: argparse.Namespace, seed: int, network: str) -> bool:
+    plan = SoakOptions(
+        network, options.balancers, options.agents, options.series, options.faults
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        result = await run_seed(seed, plan, Path(folder))
+        if result.violations:
+            shutil.copytree(folder, options.keep / str(seed), dirs_exist_ok=True)
+    outcome = f"{len(result.violations)} broken" if result.violations else "kept"
+    print(
+        f"seed {seed}: {outcome}, {result.flows} flows, {result.answers} answers; "
+        + ", ".join(result.faults),
+        flush=True,
+    )
+    for one in result.violations[:10]:
+        print(f"  {one.at_s:7.2f} s {one.promise}: {one.detail}", flush=True)
+    return bool(result.violations)
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Return the seeds of ``N`` or ``FIRST-LAST``."""
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def main() -> int:
+    """Run the soak and return its exit code."""
+    options = build_parser().parse_args()
+    seeds = [case.seed for case in load_cases()] if options.cases else []
+    seeds = seeds or parse_seeds(options.seeds)
+    failed = uvloop.run(run_all(options, seeds))
+    print(f"{len(seeds)} seeds, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/tests/test_network.py
@@ -0,0 +1,131 @@
+import asyncio
+import random
+from contextlib import AsyncExitStack
+
+import pytest
+
+from plantainyoke.network import DatagramSocket
+from plantainyoke.telemetry import Metrics
+from soak._network import ProxiedNetwork
+
+PORT_A, PORT_B = 9_300, 9_400
+
+
+class Pair:
+    """Two ends, a and b, and the proxy between them."""
+
+    def __init__(self, network: str) -> None:
+        self.ip_a, self.ip_b = f"{network}.0.1", f"{network}.0.2"
+        self.received = []
+
+    async def open(self, stack: AsyncExitStack) -> None:
+        self.proxy = ProxiedNetwork(random.Random(1), stack)
+        self.proxy.add_sender("a", self.ip_a)
+        entry, exit_ = (self.ip_b, PORT_A), (self.ip_b, PORT_B)
+        self.proxy.carry_datagrams("a", "b", entry, exit_)
+        await self.proxy.carry_connections("a", "b", entry, exit_, self.ip_a)
+        self.entry = entry
+        receiver = DatagramSocket(
+            exit_, lambda *args: self.received.append(args), Metrics()
+        )
+        stack.callback(receiver.close)
+        self.sender = DatagramSocket((self.ip_a, 0), lambda *_: None, Metrics())
+        stack.callback(self.sender.close)
+        server = await asyncio.start_server(self._echo, *exit_)
+        stack.callback(server.close)
+
+    async def _echo(self, reader, writer) -> None:
+        try:
+            while data := await reader.read(100):
+                writer.write(data)
+        except OSError:
+            pass
+        writer.close()
+
+    async def connect(self):
+        return await asyncio.open_connection(*self.entry)
+
+    async def ask(self, connection) -> bytes | None:
+        reader, writer = connection
+        writer.write(b"x")
+        try:
+            async with asyncio.timeout(0.2):
+                return await reader.read(1)
+        except TimeoutError:
+            return None
+
+
+@pytest.fixture
+def play(network, run):
+    """Return a function that plays a scenario with a pair."""
+
+    def _play(scenario):
+        async def _run():
+            async with AsyncExitStack() as stack:
+                pair = Pair(network)
+                await pair.open(stack)
+                await scenario(pair)
+
+        run(_run())
+
+    return _play
+
+
+class TestDatagrams:
+    def test_pass_with_the_address_of_their_sender(self, play):
+        async def scenario(pair):
+            pair.sender.send(b"x", pair.entry)
+            await asyncio.sleep(0.1)
+            ((datagram, source),) = pair.received
+            assert (datagram, source[0]) == (b"x", pair.ip_a)
+
+        play(scenario)
+
+    def test_cut_and_delayed(self, play):
+        async def scenario(pair):
+            way = pair.proxy.direction("a", "b")
+            way.is_cut = True
+            pair.sender.send(b"lost", pair.entry)
+            await asyncio.sleep(0.05)
+            way.is_cut = False
+            way.delay_s = 0.2
+            pair.sender.send(b"late", pair.entry)
+            await asyncio.sleep(0.05)
+            assert pair.received == []
+            await asyncio.sleep(0.4)
+            assert [datagram for datagram, _ in pair.received] == [b"late"]
+
+        play(scenario)
+
+
+class TestConnections:
+    def test_cut_one_way_holds_the_bytes(self, play):
+        async def scenario(pair):
+            connection = await pair.connect()
+            assert await pair.ask(connection) == b"x"
+            pair.proxy.direction("b", "a").is_cut = True
+            assert await pair.ask(connection) is None
+            pair.proxy.heal()
+            assert await pair.ask(connection) == b"x"
+
+        play(scenario)
+
+    def test_silent_for_good_while_new_ones_work(self, play):
+        async def scenario(pair):
+            connection = await pair.connect()
+            assert await pair.ask(connection) == b"x"
+            pair.proxy.silence_connections(1.0)
+            assert await pair.ask(connection) is None
+            assert await pair.ask(await pair.connect()) == b"x"
+
+        play(scenario)
+
+    def test_reset(self, play):
+        async def scenario(pair):
+            connection = await pair.connect()
+            assert await pair.ask(connection) == b"x"
+            pair.proxy.reset_connections(1.0)
+            with pytest.raises(ConnectionResetError):
+                await connection[0].read(1)
+
+        play(scenario)
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,21 @@
+"""A short seeded run, as part of the tests."""
+
+import pytest
+
+from soak._cases import load_cases
+from soak._run import SoakOptions, run_seed
+
+SHORT = {"balancers": 2, "agents": 5, "series": 1, "faults": 6}
+
+
+class TestShortRun:
+    @pytest.mark.parametrize("seed", [1])
+    def test_keeps_every_promise(self, run, network, tmp_path, seed):
+        result = run(run_seed(seed, SoakOptions(network, **SHORT), tmp_path))
+        assert result.violations == []
+        assert result.answers > result.flows > 0
+
+
+class TestCases:
+    def test_each_has_a_cause(self):
+        assert all(case.cause for case in load_cases())
