Rule nobody out while the own target's entry is missing

Cause: the store had been away, the entries of all targets had lapsed and were not back yet, and all processes were killed. The new ones loaded a catalogue without targets, searched among themselves alone, and took one denial for everybody's. Weighed: no reset for 2.3 s after every start. It would be exact also when only some entries lapsed, but after a power loss callers would wait as long for the resets that let them come back. Change: an agent whose own target is not published claims nothing. Before: the new test resets flows; after: none.

--- a/plantainyoke/packet_agent/_finder.py
+++ b/plantainyoke/packet_agent/_finder.py
@@ -211,7 +211,10 @@
         catalogue = self.catalogue
         everyone = len(catalogue.by_host) + len(catalogue.departed)
         if everyone <= MAX_CANDIDATES:
-            return {*catalogue.by_host, *catalogue.departed, self.host}, True
+            # Entries lapse while the store is away. Who started before they were back
+            # knows that by its own target's, and cannot rule anybody out.
+            complete = self.host in catalogue.by_host
+            return {*catalogue.by_host, *catalogue.departed, self.host}, complete
         route = catalogue.routes.get(service_endpoint(flow))
         hosts = [
             host
--- a/plantainyoke/tests/test_packet_flows.py
+++ b/plantainyoke/tests/test_packet_flows.py
@@ -26,6 +26,31 @@
     assert all(caller.answered == caller.asked for caller in callers)
 
 
+class TestLapsedEntries:
+    def test_processes_that_start_before_the_entries_are_back_reset_nothing(self):
+        world = PacketWorld({"orders": 6})
+        callers = _open(world, 40)
+        entries = tuple(world.published.targets.values())
+        world.publish(removed=tuple(entry.name for entry in entries))
+        world.run(0.1)
+        world.restart(*world.processes)
+        world.publish(targets=entries[:0], zones_out=())
+        for caller in callers:
+            caller.ask()
+        world.run(0.05)
+        # Some know the entries again, others still do not.
+        late = world.processes[12], world.processes[13]
+        for process in late:
+            process.follows = False
+        world.publish(targets=entries)
+        world.run(1.0)
+        for process in late:
+            process.follows = True
+        world.publish(targets=entries)
+        world.run(REORDER_S)
+        _assert_all_served(callers)
+
+
 class TestReusedAddress:
     def test_new_target_gets_nothing_meant_for_the_one_before(self):
         world = PacketWorld({"orders": 2, "drawings": 1})
