Search among the likely holders first

Cause: a search asked every agent that is published, at most 256 at a time. After all processes were killed each flow needs one, so the messages of all flows together grew with the square of the hosts, and beyond 256 hosts the holder might not be among those asked. Change: the flow was placed among the 16 targets that rendezvous hashing draws for it; the 32 first drawn of each of the route's services are asked first, and all others, up to 256, when these deny it or are silent for 50 ms.

--- a/plantainyoke/flows/__init__.py
+++ b/plantainyoke/flows/__init__.py
@@ -21,7 +21,7 @@
     encode_flow_load,
     encode_message,
 )
-from plantainyoke.flows._search import Search, Searches
+from plantainyoke.flows._search import WIDEN_S, Search, Searches
 from plantainyoke.flows._segment import (
     FLOW_KEY_SIZE,
     FlowKey,
@@ -50,6 +50,7 @@
     "Refusal",
     "Search",
     "Searches",
+    "WIDEN_S",
     "Segment",
     "caller_host",
     "choose_homes",
--- a/plantainyoke/flows/_search.py
+++ b/plantainyoke/flows/_search.py
@@ -2,7 +2,9 @@
 
 Load pattern: after many processes ended at the same moment, every open flow must be
 found again within a round trip, while its agent's knowledge is gone as well. The
-packet goes to all candidates. Those that do not hold the flow say so, the holder
+packet goes to the candidates among which the flow was probably placed, so that the
+messages for all flows together do not grow with the square of the number of hosts;
+if those do not hold it, to all others. Who does not hold the flow says so, the holder
 keeps it. Only when every candidate that is still published has denied is the flow known
 to be gone: hosts that left do not answer, and must not forbid that forever.
 """
@@ -14,6 +16,7 @@
 from plantainyoke.flows._segment import FlowKey
 
 SEARCH_KEPT_S = 3.0  # longer than the pause between two retransmissions
+WIDEN_S = 0.05  # a target answers within 10 ms, across zones included
 
 
 class Search(msgspec.Struct):
@@ -23,7 +26,9 @@
     ----------
     started_at, asked_at : float
     remaining : set of int
-        Candidates that have not denied the flow.
+        Candidates that were asked and have not denied the flow.
+    later : set of int
+        Candidates that are asked if the first do not hold the flow.
     denied : set of int
     complete : bool
         Whether the candidates are all agents that may hold the flow.
@@ -34,14 +39,21 @@
     started_at: float
     asked_at: float
     remaining: set[int]
+    later: set[int]
     complete: bool
     denied: set[int] = msgspec.field(default_factory=set)
     acknowledged: int = 0
 
     def is_denied(self, published: Container[int]) -> bool:
-        """Tell whether every candidate that is still published has denied."""
+        """Tell whether every candidate asked that is still published has denied."""
         return not any(host in published for host in self.remaining)
 
+    def widen(self) -> set[int]:
+        """Add the later candidates to those asked, and return them."""
+        later, self.later = self.later, set()
+        self.remaining |= later
+        return later
+
 
 class Searches:
     """Searches in progress.
@@ -63,10 +75,16 @@
         return search
 
     def start(
-        self, flow: FlowKey, candidates: set[int], *, complete: bool, now: float
+        self,
+        flow: FlowKey,
+        first: set[int],
+        later: set[int],
+        *,
+        complete: bool,
+        now: float,
     ) -> Search:
         """Start a search among candidates."""
-        search = self.running[flow] = Search(now, now, set(candidates), complete)
+        search = self.running[flow] = Search(now, now, first, later, complete)
         return search
 
     def deny(self, flow: FlowKey, candidate: int) -> Search | None:
--- a/plantainyoke/packet_agent/_finder.py
+++ b/plantainyoke/packet_agent/_finder.py
@@ -7,6 +7,7 @@
 
 from plantainyoke.catalogue import Catalogue
 from plantainyoke.flows import (
+    WIDEN_S,
     FlowKey,
     HeldFlow,
     HomeTable,
@@ -22,9 +23,11 @@
 )
 from plantainyoke.network import host_text
 from plantainyoke.packet_agent._outbox import Outbox
+from plantainyoke.placement import draw_targets
 from plantainyoke.telemetry import Metrics, log_event
 
-MAX_CANDIDATES = 256  # agents asked in one search; beyond that, the route's only
+FIRST_CANDIDATES = 32  # agents asked at first: twice those compared in a placement
+MAX_CANDIDATES = 256  # agents asked in one search
 POINTER_KEPT_S = 600.0  # pointers are refreshed at half of it
 REPOINTED_PER_TICK = 200  # flows whose homes are told again, of a tick
 
@@ -95,7 +98,7 @@
         search = self.searches.deny(flow, source)
         if search is not None:
             if search.is_denied(self.catalogue.by_host):
-                self._end_search(flow, search)
+                self._widen_or_end(segment, search, ingress)
         elif self.homes.find(flow) == source:
             # The pointer was wrong: look everywhere.
             self.homes.forget(flow, source)
@@ -145,7 +148,9 @@
                 denied=len(search.denied),
             )
         for flow, search in list(self.searches.running.items()):
-            if search.denied and search.is_denied(self.catalogue.by_host):
+            # What is left to ask gets the next packet of the flow.
+            is_over = search.denied and not search.later
+            if is_over and search.is_denied(self.catalogue.by_host):
                 self._end_search(flow, search)
         self._repoint(flows, now)
 
@@ -177,7 +182,7 @@
     def _search(
         self, segment: Segment, ingress: Ingress, hops: int, now: float
     ) -> None:
-        """Send a packet to every agent that may hold its flow."""
+        """Send a packet to the agents that may hold its flow, the likely ones first."""
         flow = segment.flow
         if not self.catalogue.revision:
             # Who knows no other agent can neither ask nor rule them out. The balancer
@@ -186,42 +191,72 @@
             return
         search = self.searches.find(flow, now)
         if search is None:
-            candidates, complete = self._search_candidates(flow)
-            search = self.searches.start(flow, candidates, complete=complete, now=now)
-            self.metrics.counters["search.started"] += 1
-            log_event(
-                "search_started",
-                flow=describe_flow(flow),
-                candidates=len(candidates),
-                complete=complete,
-                revision=self.catalogue.revision,
-            )
+            search = self._start_search(flow, now)
+        elif now - search.started_at > WIDEN_S:
+            search.widen()
         search.acknowledged = segment.acknowledged
-        remaining = search.remaining
         self.outbox.send_flow(Kind.SEARCHING, ingress.host, flow, ingress)
-        for host in tuple(remaining):
+        self._probe(segment, search.remaining, ingress, hops)
+
+    def _start_search(self, flow: FlowKey, now: float) -> Search:
+        first, later, complete = self._search_candidates(flow)
+        self.metrics.counters["search.started"] += 1
+        log_event(
+            "search_started",
+            flow=describe_flow(flow),
+            candidates=len(first),
+            later=len(later),
+            complete=complete,
+            revision=self.catalogue.revision,
+        )
+        return self.searches.start(flow, first, later, complete=complete, now=now)
+
+    def _probe(
+        self, segment: Segment, hosts: set[int], ingress: Ingress, hops: int
+    ) -> None:
+        """Ask agents by giving them the packet."""
+        for host in tuple(hosts):
             if host != self.host:
+                self.metrics.counters["probe.sent"] += 1
                 self.outbox.forward(Kind.PROBE, host, segment, ingress, hops)
-        if self.host in remaining:
+        if self.host in hosts:
             probe = Message(Kind.PROBE, hops, 0, ingress, 0, 0, segment.raw)
             self.probe_target(segment, probe)
 
-    def _search_candidates(self, flow: FlowKey) -> tuple[set[int], bool]:
-        """Return the agents that may hold a flow, and whether these are all."""
+    def _search_candidates(self, flow: FlowKey) -> tuple[set[int], set[int], bool]:
+        """Return whom to ask first and later, and whether these are all."""
+        catalogue = self.catalogue
+        everyone = {*catalogue.by_host, *catalogue.departed}
+        if len(everyone) <= FIRST_CANDIDATES:
+            first = everyone
+        else:
+            first = self._likely_holders(flow)
+        rest = list(everyone - first)
+        later = set(rest[: MAX_CANDIDATES - len(first)])
+        # Entries lapse while the store is away. Who started before they were back
+        # knows that by its own target's, and cannot rule anybody out.
+        is_whole = self.host in catalogue.by_host and len(later) == len(rest)
+        return first | {self.host}, later - {self.host}, is_whole
+
+    def _likely_holders(self, flow: FlowKey) -> set[int]:
+        """Return the agents among which the flow was placed, if little has changed."""
         catalogue = self.catalogue
-        everyone = len(catalogue.by_host) + len(catalogue.departed)
-        if everyone <= MAX_CANDIDATES:
-            # Entries lapse while the store is away. Who started before they were back
-            # knows that by its own target's, and cannot rule anybody out.
-            complete = self.host in catalogue.by_host
-            return {*catalogue.by_host, *catalogue.departed, self.host}, complete
         route = catalogue.routes.get(service_endpoint(flow))
-        hosts = [
-            host
-            for share in (route.shares if route else ())
-            for host in catalogue.by_service.get(share.service, ())
-        ]
-        return {*hosts[:MAX_CANDIDATES], self.host}, False
+        likely: set[int] = set()
+        for share in route.shares if route else ():
+            targets = catalogue.by_service.get(share.service, {}).values()
+            drawn = draw_targets(targets, flow, FIRST_CANDIDATES)
+            likely.update(target.host for target in drawn)
+        return likely
+
+    def _widen_or_end(self, segment: Segment, search: Search, ingress: Ingress) -> None:
+        """Ask the later candidates after the first have denied, or end the search."""
+        later = search.widen()
+        if later:
+            self.metrics.counters["search.widened"] += 1
+            self._probe(segment, later, ingress, 1)
+        else:
+            self._end_search(segment.flow, search)
 
     def _end_search(self, flow: FlowKey, search: Search) -> None:
         """Reset a flow that nobody holds, if everybody was asked."""
--- a/plantainyoke/packet_agent/tests/test_finder.py
+++ b/plantainyoke/packet_agent/tests/test_finder.py
@@ -1,5 +1,7 @@
+import msgspec
+
 from plantainyoke.flows import Kind, decode_message
-from plantainyoke.packet_agent._finder import POINTER_KEPT_S
+from plantainyoke.packet_agent._finder import FIRST_CANDIDATES, POINTER_KEPT_S
 from plantainyoke.standins import PacketWorld
 
 
@@ -53,6 +55,51 @@
                 assert world.agent(home).finder.homes.find(caller.flow) == agent.host
 
 
+def _probes(world):
+    return sum(metrics.counters["probe.sent"] for metrics in world.metrics.values())
+
+
+class TestWidening:
+    def test_a_search_asks_those_first_that_the_flow_was_placed_among(self):
+        world = PacketWorld({"orders": 80})
+        callers = [world.open_flow() for _ in range(50)]
+        world.run(0.5)
+        world.restart(*world.processes)
+        for caller in callers:
+            caller.ask()
+        world.run(2.0)
+        assert all(caller.answered for caller in callers)
+        assert _probes(world) <= 1.2 * 50 * FIRST_CANDIDATES
+
+    def test_a_holder_that_is_unlikely_is_found_too(self):
+        world = PacketWorld({"orders": 80})
+        entries = list(world.published.targets.values())
+        away = [msgspec.structs.replace(entry, draining=True) for entry in entries[:70]]
+        world.publish(targets=tuple(away))
+        world.run(0.1)
+        callers = [world.open_flow() for _ in range(50)]
+        world.run(0.5)
+        world.publish(targets=tuple(entries[:70]))
+        world.run(0.1)
+        world.restart(*world.processes)
+        for caller in callers:
+            caller.ask()
+        world.run(2.0)
+        assert [caller.reset_at for caller in callers] == [None] * len(callers)
+        assert all(caller.answered for caller in callers)
+
+    def test_a_flow_that_nobody_holds_is_reset_once_all_have_denied(self):
+        world = PacketWorld({"orders": 80})
+        caller = world.open_flow()
+        world.run(0.5)
+        for target in world.targets.values():
+            target.restart()
+        world.restart(*world.processes)
+        caller.ask()
+        world.run(0.2)
+        assert caller.reset_at is not None
+
+
 class TestSearches:
     def test_agent_without_a_catalogue_does_not_claim_that_nobody_holds_a_flow(self):
         world = PacketWorld({"orders": 6})
--- a/plantainyoke/placement/__init__.py
+++ b/plantainyoke/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from plantainyoke.placement._choice import (
     choose_service,
+    draw_targets,
     is_mostly_cold,
     prefer_idle_service,
     rank_targets,
@@ -18,6 +19,7 @@
     "PeerTable",
     "WorkPace",
     "choose_service",
+    "draw_targets",
     "is_mostly_cold",
     "prefer_idle_service",
     "rank_targets",
--- a/plantainyoke/placement/_choice.py
+++ b/plantainyoke/placement/_choice.py
@@ -5,7 +5,8 @@
 agents' latest reports plus what was placed since.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from heapq import nsmallest
 
 import xxhash
 
@@ -82,6 +83,20 @@
     return next((targets for targets in ranked if targets), [])
 
 
+def draw_targets(targets: Iterable[Target], flow: FlowKey, count: int) -> list[Target]:
+    """Draw targets by rendezvous hashing of the flow, the first drawn first.
+
+    The same targets are drawn wherever and whenever this is done for a flow, but for
+    those that came or went meanwhile.
+    """
+    seed = xxhash.xxh64_intdigest(flow)
+
+    def weight(target: Target) -> int:
+        return xxhash.xxh64_intdigest(target.host.to_bytes(4, "big"), seed)
+
+    return nsmallest(count, targets, key=weight)
+
+
 def rank_targets(
     targets: Sequence[Target],
     *,
@@ -107,12 +122,7 @@
     list of Target
         Targets expected to accept come before all others.
     """
-    seed = xxhash.xxh64_intdigest(flow)
-
-    def weight(target: Target) -> int:
-        return xxhash.xxh64_intdigest(target.host.to_bytes(4, "big"), seed)
-
-    drawn = sorted(targets, key=weight)[:MAX_COMPARED]
+    drawn = draw_targets(targets, flow, MAX_COMPARED)
 
     def score(target: Target) -> tuple[bool, float]:
         peer = peers.get(target.host)
