Open the circles of imports in the QUIC path

A stream sink and a watch name what they need of their connection and session as protocols, so that no file imports, not even for types, the one that imports it.

--- a/plantainyoke/agent/_stream_sink.py
+++ b/plantainyoke/agent/_stream_sink.py
@@ -1,20 +1,31 @@
 """Writes answers to HTTP/3 streams."""
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from plantainyoke.agent._messages import Headers
-from plantainyoke.quic import pending_bytes
+from aioquic.quic.connection import QuicConnection
 
-if TYPE_CHECKING:
-    from plantainyoke.agent._connection import AgentConnection
+from plantainyoke.agent._messages import Headers
+from plantainyoke.quic import ConnectionDriver, ControlledH3Connection, pending_bytes
 
 MAX_PENDING_BYTES = 262_144
 
 
+class StreamOwner(Protocol):
+    """The connection that a stream belongs to."""
+
+    quic: QuicConnection
+    h3: ControlledH3Connection
+    driver: ConnectionDriver
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing can be sent any more."""
+
+
 class StreamSink:
     """Writes an answer to one HTTP/3 stream."""
 
-    def __init__(self, connection: "AgentConnection", stream_id: int) -> None:
+    def __init__(self, connection: StreamOwner, stream_id: int) -> None:
         self.connection = connection
         self.stream_id = stream_id
         self.is_started = False
--- a/plantainyoke/caller/__init__.py
+++ b/plantainyoke/caller/__init__.py
@@ -10,7 +10,8 @@
     OutcomeUnknownError,
     RefusedError,
 )
-from plantainyoke.caller._session import Session, SessionOptions
+from plantainyoke.caller._options import SessionOptions
+from plantainyoke.caller._session import Session
 from plantainyoke.caller._stream import CallerAnswer, Event
 
 __all__ = [
--- a/plantainyoke/caller/_session.py
+++ b/plantainyoke/caller/_session.py
@@ -4,7 +4,6 @@
 import random
 import uuid
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
 
 from plantainyoke.caller._connection import CallerConnection
 from plantainyoke.caller._errors import (
@@ -15,6 +14,7 @@
     OutcomeUnknownError,
     RefusedError,
 )
+from plantainyoke.caller._options import SessionOptions
 from plantainyoke.caller._request import (
     IDEMPOTENT_METHODS,
     OutgoingRequest,
@@ -35,22 +35,6 @@
 MAX_ATTEMPTS = 5
 
 
-@dataclass(frozen=True, slots=True)
-class SessionOptions:
-    """How a session connects.
-
-    Attributes
-    ----------
-    server_name : str
-        Name in the service's certificate.
-    certificate_authority : str
-        Path of a PEM file.
-    """
-
-    server_name: str
-    certificate_authority: str
-
-
 class Session:
     """Sends requests and watches events through any number of connections.
 
--- a/plantainyoke/caller/_watch.py
+++ b/plantainyoke/caller/_watch.py
@@ -1,7 +1,7 @@
 """A stream of events that outlives the connection it came on."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from plantainyoke.caller._connection import CallerConnection
 from plantainyoke.caller._errors import (
@@ -9,28 +9,41 @@
     ConnectionLostError,
     RefusedError,
 )
+from plantainyoke.caller._options import SessionOptions
 from plantainyoke.caller._request import SessionLine, build_common_headers
 from plantainyoke.caller._silence import unless_silent
 from plantainyoke.caller._stream import Event, ResponseStream
-
-if TYPE_CHECKING:
-    from plantainyoke.caller._session import Session
+from plantainyoke.telemetry import Metrics
 
 HEAD_TIMEOUT_S = 1.2
 
 
+class WatchedSession(Protocol):
+    """What a watch needs of its session."""
+
+    id: str
+    options: SessionOptions
+    metrics: Metrics
+
+    async def connection(self) -> CallerConnection:
+        """Return the connection in use, opening one if there is none."""
+
+    async def back_off(self, attempt: int, error: Exception) -> None:
+        """Wait before the next attempt."""
+
+
 class Watch:
     """One watch of a session.
 
     Parameters
     ----------
-    session : Session
+    session : WatchedSession
     path : str
     last_event_id : str
         Event after which to begin, empty for the present.
     """
 
-    def __init__(self, session: "Session", path: str, last_event_id: str) -> None:
+    def __init__(self, session: WatchedSession, path: str, last_event_id: str) -> None:
         self.session = session
         self.path = path
         self.last_event_id = last_event_id
