Give bad input errors of its own types

AddressError, FlowNameError, RoutingKeyError, SettingError, PayloadSizeError, PeerKeyError and PortRangeError say what was wrong with which value; they stay ValueErrors where a validator needs one.

--- a/plantainyoke/configuration/_settings.py
+++ b/plantainyoke/configuration/_settings.py
@@ -19,9 +19,13 @@
 ROUTING_SECRET_PATTERN = r"^[0-9a-f]{32}$"
 
 
+class SettingError(ValueError):
+    """A setting that contradicts another or has no usable value."""
+
+
 def _check_http_url(text: str) -> str:
     if not text.startswith(("http://", "https://")):
-        raise ValueError("must start with http:// or https://")
+        raise SettingError("must start with http:// or https://")
     return text.rstrip("/")
 
 
@@ -55,7 +59,7 @@
     def _check_rotations(self):
         rotations = [key.rotation for key in self.routing]
         if len(set(rotations)) != len(rotations):
-            raise ValueError("routing keys share a rotation number")
+            raise SettingError("routing keys share a rotation number")
         return self
 
     @property
@@ -155,9 +159,9 @@
     @model_validator(mode="after")
     def _check_role(self):
         if self.role == "agent" and self.agent is None:
-            raise ValueError("role agent needs the section 'agent'")
+            raise SettingError("role agent needs the section 'agent'")
         if self.role == "balancer" and self.agent is not None:
-            raise ValueError("role balancer takes no section 'agent'")
+            raise SettingError("role balancer takes no section 'agent'")
         return self
 
 
--- a/plantainyoke/flows/__init__.py
+++ b/plantainyoke/flows/__init__.py
@@ -25,6 +25,7 @@
 from plantainyoke.flows._segment import (
     FLOW_KEY_SIZE,
     FlowKey,
+    FlowNameError,
     Segment,
     caller_host,
     describe_flow,
@@ -63,6 +64,7 @@
     "encode_alternates",
     "encode_flow_load",
     "encode_message",
+    "FlowNameError",
     "parse_flow",
     "service_endpoint",
 ]
--- a/plantainyoke/flows/_segment.py
+++ b/plantainyoke/flows/_segment.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+from dataclasses import dataclass
 
 import msgspec
 
@@ -61,19 +62,36 @@
     return f"{caller_host(flow)}:{caller_port}>{service}:{service_port}"
 
 
+@dataclass
+class FlowNameError(ValueError):
+    """A text that does not name a flow.
+
+    Attributes
+    ----------
+    text : str
+    problem : str
+    """
+
+    text: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.text!r} {self.problem}"
+
+
 def parse_flow(text: str) -> FlowKey:
     """Return the key of a flow written by ``describe_flow``.
 
     Raises
     ------
-    ValueError
+    FlowNameError
         If the text does not name a flow.
     """
     caller, separator, service = text.partition(">")
     caller_ip, _, caller_port = caller.rpartition(":")
     service_ip, _, service_port = service.rpartition(":")
     if not (separator and caller_port.isdigit() and service_port.isdigit()):
-        raise ValueError(f"{text!r} is not written caller:port>service:port")
+        raise FlowNameError(text, "is not written caller:port>service:port")
     try:
         return (
             socket.inet_aton(service_ip)
@@ -82,4 +100,4 @@
             + socket.inet_aton(caller_ip)
         )
     except (OSError, OverflowError):
-        raise ValueError(f"{text!r} holds a bad address or port") from None
+        raise FlowNameError(text, "holds a bad address or port") from None
--- a/plantainyoke/network/__init__.py
+++ b/plantainyoke/network/__init__.py
@@ -2,6 +2,7 @@
 
 from plantainyoke.network._address import (
     Address,
+    AddressError,
     describe_packed,
     format_address,
     host_number,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "Address",
+    "AddressError",
     "DatagramSocket",
     "HttpClient",
     "HttpError",
--- a/plantainyoke/network/_address.py
+++ b/plantainyoke/network/_address.py
@@ -2,10 +2,29 @@
 
 import socket
 import struct
+from dataclasses import dataclass
 from functools import lru_cache
 
 Address = tuple[str, int]
 
+
+@dataclass
+class AddressError(ValueError):
+    """A text that is not an IPv4 address and port.
+
+    Attributes
+    ----------
+    text : str
+    problem : str
+    """
+
+    text: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.text!r} {self.problem}"
+
+
 PORT_BITS = 16
 PORT_MASK = 0xFFFF
 ADDRESS_CACHE_SIZE = 65_536
@@ -31,19 +50,19 @@
 
     Raises
     ------
-    ValueError
+    AddressError
         If the host is not a dotted IPv4 address or the port is not 1 to 65535.
     """
     host, separator, port_text = text.rpartition(":")
     if not separator or not port_text.isdigit():
-        raise ValueError(f"{text!r} is not an IPv4 address and port")
+        raise AddressError(text, "is not an IPv4 address and port")
     port = int(port_text)
     if not 0 < port <= PORT_MASK:
-        raise ValueError(f"{text!r} has a port outside 1 to 65535")
+        raise AddressError(text, "has a port outside 1 to 65535")
     try:
         socket.inet_pton(socket.AF_INET, host)
     except OSError:
-        raise ValueError(f"{text!r} is not an IPv4 address and port") from None
+        raise AddressError(text, "is not an IPv4 address and port") from None
     return host, port
 
 
--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -4,7 +4,12 @@
 import time
 
 from plantainyoke.catalogue import Change
-from plantainyoke.flows import caller_host, describe_flow, parse_flow
+from plantainyoke.flows import (
+    FlowNameError,
+    caller_host,
+    describe_flow,
+    parse_flow,
+)
 from plantainyoke.network import Address, DatagramSocket
 from plantainyoke.packet_agent._delivery import Delivery
 from plantainyoke.packet_agent._outbox import AgentPorts
@@ -88,7 +93,7 @@
         """Return what is known of a flow."""
         try:
             flow = parse_flow(parameters.get("flow", ""))
-        except ValueError as error:
+        except FlowNameError as error:
             return {"error": str(error)}
         held = self.delivery.holdings.flows.get(flow)
         answer = {
--- a/plantainyoke/packet_balancer/_program.py
+++ b/plantainyoke/packet_balancer/_program.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from plantainyoke.flows import FlowNameError, describe_flow, parse_flow
 from plantainyoke.flows import caller_host as caller_host_of
-from plantainyoke.flows import describe_flow, parse_flow
 from plantainyoke.network import Address, DatagramSocket
 from plantainyoke.packet_balancer._steering import BalancerPorts, Steering
 from plantainyoke.packet_node import PacketNode
@@ -79,7 +79,7 @@
         """Return what is known of a flow."""
         try:
             flow = parse_flow(parameters.get("flow", ""))
-        except ValueError as error:
+        except FlowNameError as error:
             return {"error": str(error)}
         entry = self.steering.cache.get(flow)
         if entry is None:
--- a/plantainyoke/platform/_settings.py
+++ b/plantainyoke/platform/_settings.py
@@ -2,6 +2,7 @@
 
 import os
 import tomllib
+from dataclasses import dataclass
 
 import msgspec
 
@@ -13,6 +14,16 @@
     """The settings file is missing, unreadable or incomplete."""
 
 
+@dataclass
+class PortRangeError(ValueError):
+    """``internalPorts`` is not a range of two ports or more."""
+
+    ports: list[int]
+
+    def __str__(self) -> str:
+        return f"internalPorts {self.ports} is not a range of two ports or more"
+
+
 class _Listen(msgspec.Struct, rename="camel"):
     packet_addr: str
     ready: str
@@ -65,7 +76,7 @@
     if len(file.internal_ports) != 2 or not (
         0 < file.internal_ports[0] < file.internal_ports[1] < 65_536
     ):
-        raise ValueError("internalPorts is not a range of two ports or more")
+        raise PortRangeError(file.internal_ports)
     listen = file.listen
     return HostSettings(
         name=file.node_name,
--- a/plantainyoke/routing/_connection_id.py
+++ b/plantainyoke/routing/_connection_id.py
@@ -93,11 +93,25 @@
         return Target(ip << 16 | port, zone, service)
 
 
+@dataclass
+class RoutingKeyError(ValueError):
+    """A key whose rotation or size no connection ID can carry."""
+
+    rotation: int
+    size: int
+
+    def __str__(self) -> str:
+        return (
+            f"routing key of rotation {self.rotation} and {self.size} bytes; keys have "
+            f"rotation 0 to {MAX_ROTATION} and {ROUTING_KEY_SIZE} bytes"
+        )
+
+
 def _first_octet(rotation: int) -> int:
     return rotation << ROTATION_SHIFT | BLOCK_SIZE
 
 
 def _cipher(key: RoutingKey) -> Cipher:
     if not 0 <= key.rotation <= MAX_ROTATION or len(key.secret) != ROUTING_KEY_SIZE:
-        raise ValueError("routing keys need rotation 0 to 6 and 16 bytes")
+        raise RoutingKeyError(key.rotation, len(key.secret))
     return Cipher(algorithms.AES(key.secret), modes.ECB())
--- a/plantainyoke/wire/_envelope.py
+++ b/plantainyoke/wire/_envelope.py
@@ -4,7 +4,11 @@
 
 import capnp
 
-from plantainyoke.wire._errors import AuthenticationError, MalformedError
+from plantainyoke.wire._errors import (
+    AuthenticationError,
+    MalformedError,
+    PayloadSizeError,
+)
 from plantainyoke.wire._mac import MAC_SIZE, MessageAuthenticator
 from plantainyoke.wire._messages import (
     Condition,
@@ -131,7 +135,7 @@
 
 def _decode_forward(body, payload: bytes) -> Forward:
     if body.payloadSize != len(payload):
-        raise ValueError("payload size")
+        raise PayloadSizeError(body.payloadSize, len(payload))
     return Forward(
         body.client,
         body.service,
@@ -144,7 +148,7 @@
 
 def _decode_reply(body, payload: bytes) -> Reply:
     if body.payloadSize != len(payload):
-        raise ValueError("payload size")
+        raise PayloadSizeError(body.payloadSize, len(payload))
     return Reply(body.client, body.service, payload)
 
 
--- a/plantainyoke/wire/_mac.py
+++ b/plantainyoke/wire/_mac.py
@@ -2,12 +2,28 @@
 
 import hmac
 from collections.abc import Sequence
+from dataclasses import dataclass
 from hashlib import blake2b
 
 MAC_SIZE = 16
 MINIMUM_KEY_SIZE = 16
 
 
+@dataclass
+class PeerKeyError(ValueError):
+    """No key, or one that is too short.
+
+    Attributes
+    ----------
+    sizes : list of int
+    """
+
+    sizes: list[int]
+
+    def __str__(self) -> str:
+        return f"peer keys need at least {MINIMUM_KEY_SIZE} bytes, not {self.sizes}"
+
+
 class MessageAuthenticator:
     """Adds and checks BLAKE2b authentication codes.
 
@@ -19,7 +35,7 @@
 
     def __init__(self, keys: Sequence[bytes]) -> None:
         if not keys or any(len(key) < MINIMUM_KEY_SIZE for key in keys):
-            raise ValueError(f"peer keys need at least {MINIMUM_KEY_SIZE} bytes")
+            raise PeerKeyError([len(key) for key in keys])
         self.hashers = [blake2b(key=key, digest_size=MAC_SIZE) for key in keys]
         self.signer = self.hashers[0]
 
