Send a subscriber only what it lacks

Cause: whoever turned to another source got the whole catalogue, also if it had it. Each target that comes or goes changes the ranking, so in a release most processes of a zone got everything again and again: most of the bytes between processes at 300 machines, and of the price (GB between zones). Change: a source keeps its last 64 changes and sends those after the subscriber's revision, nothing if it lacks none, everything only beyond that.

--- a/plantainyoke/catalogue/_links.py
+++ b/plantainyoke/catalogue/_links.py
@@ -1,10 +1,11 @@
 """Links over which processes pass the catalogue on.
 
-A subscriber gets everything once, then each change, and at least every
+A subscriber gets what it lacks, then each change, and at least every
 ``ALIVE_INTERVAL_S`` a sign of life that says how old the sender's view is.
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from contextlib import AsyncExitStack, suppress
 
@@ -16,6 +17,7 @@
 
 ALIVE_INTERVAL_S = 0.5
 CONNECT_TIMEOUT_S = 0.4  # round trips across zones take some 10 ms
+RECENT_CHANGES = 64  # half a minute of a release; who lacks more gets everything
 LENGTH_SIZE = 4
 MAX_FRAME_SIZE = 64 * 1024 * 1024  # a snapshot of 55,000 targets has 10 MB
 MAX_PENDING_SIZE = 2 * MAX_FRAME_SIZE  # unsent bytes at which a subscriber is dropped
@@ -122,6 +124,7 @@
         self.snapshot = snapshot
         self.age_s = age_s
         self.subscribers: dict[asyncio.StreamWriter, int] = {}
+        self.recent: deque[Change] = deque(maxlen=RECENT_CHANGES)
 
     async def listen(self, address: Address, stack: AsyncExitStack) -> None:
         """Accept subscribers until the stack closes."""
@@ -130,6 +133,7 @@
 
     def publish(self, change: Change) -> None:
         """Send a change to every subscriber that has what it builds on."""
+        self.recent.append(change)
         for writer, revision in list(self.subscribers.items()):
             with suppress(LinkError):  # its task sees the closed link and ends
                 self._send(writer, revision, change)
@@ -147,7 +151,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 request = _subscribe_decoder.decode(await _read_body(reader))
             self.subscribers[writer] = -1
-            self._send_snapshot(writer, request.revision)
+            self._send_missing(writer, request.revision)
             while not writer.is_closing():
                 await asyncio.sleep(ALIVE_INTERVAL_S)
                 self._send_alive(writer, request.revision)
@@ -163,18 +167,36 @@
             self.subscribers.pop(writer, None)
             writer.close()
 
-    def _send_snapshot(self, writer: asyncio.StreamWriter, wanted: int) -> None:
-        """Send everything, unless the subscriber knows more."""
-        snapshot = self.snapshot()
-        if snapshot.revision and snapshot.revision >= wanted:
-            self._write(writer, Frame(self._age_ms(), snapshot))
-            self.subscribers[writer] = snapshot.revision
-        else:
+    def _send_missing(self, writer: asyncio.StreamWriter, known: int) -> None:
+        """Send what a subscriber lacks, nothing if it knows more.
+
+        Load pattern: each target that comes or goes changes the ranking, and many
+        processes turn to another source, though they lack a change or two at most.
+        """
+        changes = self._changes_after(known)
+        if changes is None:
             self._write(writer, Frame(self._age_ms()))
+            return
+        for change in changes:
+            self._write(writer, Frame(self._age_ms(), change))
+        if not changes:
+            self._write(writer, Frame(self._age_ms()))
+        self.subscribers[writer] = changes[-1].revision if changes else known
+
+    def _changes_after(self, known: int) -> list[Change] | None:
+        """Return the changes after a revision, None if that is not reached here."""
+        snapshot = self.snapshot()
+        if not snapshot.revision or snapshot.revision < known:
+            return None
+        missing = [change for change in self.recent if change.revision > known]
+        kept = missing and missing[0].since <= known
+        if snapshot.revision == known or (known and kept):
+            return missing
+        return [snapshot]
 
     def _send_alive(self, writer: asyncio.StreamWriter, wanted: int) -> None:
         if self.subscribers.get(writer, -1) < 0:
-            self._send_snapshot(writer, wanted)
+            self._send_missing(writer, wanted)
         else:
             self._write(writer, Frame(self._age_ms()))
 
--- /dev/null
+++ b/plantainyoke/catalogue/tests/test_links.py
@@ -0,0 +1,109 @@
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+
+from plantainyoke.catalogue import Catalogue, Change, Target
+from plantainyoke.catalogue._links import (
+    RECENT_CHANGES,
+    CatalogueServer,
+    open_subscription,
+    read_frame,
+)
+from plantainyoke.telemetry import Metrics
+
+PORT = 9_500
+
+
+class Source:
+    """A server whose catalogue grows by one target with each change."""
+
+    def __init__(self, network: str) -> None:
+        self.address = (f"{network}.0.1", PORT)
+        self.catalogue = Catalogue()
+        self.server = CatalogueServer(self.catalogue.snapshot, lambda: 0.0, Metrics())
+
+    def grow(self, count: int = 1) -> None:
+        for _ in range(count):
+            revision = self.catalogue.revision
+            target = Target(f"t{revision}", "orders", revision, 1, "a", 4)
+            change = Change(revision, revision + 1, targets=(target,))
+            self.catalogue.apply(change, 0.0)
+            self.server.publish(change)
+
+    async def first_changes(self, known: int, count: int = 1) -> list[Change | None]:
+        """Return what the first frames of a new subscription carry."""
+        reader, writer = await open_subscription(self.address, known)
+        frames = [await read_frame(reader) for _ in range(count)]
+        writer.close()
+        return [frame.change for frame in frames]
+
+
+@pytest.fixture
+def play(network, run):
+    """Return a function that plays a scenario with a source."""
+
+    def _play(scenario):
+        async def main():
+            async with AsyncExitStack() as stack:
+                source = Source(network)
+                await source.server.listen(source.address, stack)
+                await scenario(source)
+
+        run(main())
+
+    return _play
+
+
+class TestSubscriptions:
+    def test_new_process_gets_everything_at_once(self, play):
+        async def scenario(source):
+            source.grow(10)
+            (change,) = await source.first_changes(0)
+            assert (change.since, len(change.targets)) == (0, 10)
+
+        play(scenario)
+
+    def test_who_lacks_nothing_gets_no_change(self, play):
+        async def scenario(source):
+            source.grow(10)
+            assert await source.first_changes(10) == [None]
+
+        play(scenario)
+
+    def test_who_lacks_little_gets_just_that(self, play):
+        async def scenario(source):
+            source.grow(10)
+            changes = await source.first_changes(8, 2)
+            assert [(one.since, one.revision) for one in changes] == [(8, 9), (9, 10)]
+
+        play(scenario)
+
+    def test_who_lacks_more_than_is_kept_gets_everything(self, play):
+        async def scenario(source):
+            source.grow(RECENT_CHANGES + 10)
+            (change,) = await source.first_changes(5)
+            assert change.since == 0
+
+        play(scenario)
+
+    def test_who_knows_more_gets_later_changes_only(self, play):
+        async def scenario(source):
+            source.grow(5)
+            assert await source.first_changes(9) == [None]
+
+        play(scenario)
+
+    def test_each_change_follows(self, play):
+        async def scenario(source):
+            source.grow(2)
+            reader, writer = await open_subscription(source.address, 2)
+            assert (await read_frame(reader)).change is None
+            source.grow()
+            async with asyncio.timeout(1):
+                while (change := (await read_frame(reader)).change) is None:
+                    pass
+            assert change.revision == 3
+            writer.close()
+
+        play(scenario)
