--- a/soak/_site.py
+++ b/soak/_site.py
@@ -186,7 +186,9 @@
         machine = self.machines[name]
         machine.born_ms = round((time.time() + clock_skew_s) * 1000)
         machine.cold_until = self.now + COLD_START_S
-        self.witness.cold_rates[host] = self.plan.cold_flows_per_s
+        if self.plan.cold_flows_per_s:
+            # Without a stated rate a service that is all cold has no limit.
+            self.witness.cold_rates[host] = self.plan.cold_flows_per_s
         self.publish_target(name)
         self.at(COLD_START_S, lambda: self._end_cold_start(name))
 
