Log a search that is begun anew because it had no answer

Cause: a search older than three seconds was replaced without a line when the caller went on sending, so a flow whose holder is dead left no search_unanswered until its caller had given up. Change: the replaced search is logged and counted like an expired one.

--- a/plantainyoke/packet_agent/_finder.py
+++ b/plantainyoke/packet_agent/_finder.py
@@ -140,13 +140,7 @@
         """
         self.homes.expire(now, POINTER_KEPT_S)
         for flow, search in self.searches.expire(now):
-            self.metrics.counters["search.unanswered"] += 1
-            log_event(
-                "search_unanswered",
-                flow=describe_flow(flow),
-                silent=",".join(sorted(host_text(host) for host in search.remaining)),
-                denied=len(search.denied),
-            )
+            self._note_unanswered(flow, search)
         for flow, search in list(self.searches.running.items()):
             # What is left to ask gets the next packet of the flow.
             is_over = search.denied and not search.later
@@ -198,7 +192,19 @@
         self.outbox.send_flow(Kind.SEARCHING, ingress.host, flow, ingress)
         self._probe(segment, search.remaining, ingress, hops)
 
+    def _note_unanswered(self, flow: FlowKey, search: Search) -> None:
+        self.metrics.counters["search.unanswered"] += 1
+        log_event(
+            "search_unanswered",
+            flow=describe_flow(flow),
+            silent=",".join(sorted(host_text(host) for host in search.remaining)),
+            denied=len(search.denied),
+        )
+
     def _start_search(self, flow: FlowKey, now: float) -> Search:
+        unanswered = self.searches.finish(flow)
+        if unanswered is not None:
+            self._note_unanswered(flow, unanswered)
         first, later, complete = self._search_candidates(flow)
         self.metrics.counters["search.started"] += 1
         log_event(
