Ask no seed while the store answers

Cause: a process that starts knows the seeds alone and subscribed to them at once, next to its own first read. After a kill of all, 300 processes took the catalogue from three balancers with links of 5 Mbit/s. Change: the subscriber waits for the end of the first call to the store, 0.3 s at most. The new test sees the seeds asked before, and left alone after.

--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 from plantainyoke.catalogue._catalogue import Catalogue
 from plantainyoke.catalogue._editor import CatalogueEditor, Published
@@ -32,6 +33,7 @@
 MAX_PATIENCE_RANK = 6
 MAX_SOURCES = 4  # ranks that a process follows while the store refuses it
 RETRY_S = 0.3
+FIRST_READ_S = 0.3  # the store answers in milliseconds; then peers may know more
 ANY_ZONE = 0  # ranks hosts that are not of the own zone
 RETRY_FIRST_S = 5.0  # return to the first rank after it came back
 MIN_BACKOFF_S = 0.4  # pause after a failed call to the store
@@ -73,6 +75,8 @@
         Whether the last call to the store failed.
     reads : bool
         Whether it is this process's turn to read the store.
+    first_read : asyncio.Event
+        Set when the first call to the store has ended, whatever came of it.
     """
 
     def __init__(
@@ -102,6 +106,7 @@
         self.is_failing = False
         self.reads = True
         self.loaded = asyncio.Event()
+        self.first_read = asyncio.Event()
         self.confirmed_at = float("-inf")
         self.read_at = float("-inf")
         self.ranked: list[int] = []
@@ -190,12 +195,14 @@
                 self.metrics.counters["store.failed"] += 1
                 log_event("store_failed", error=str(error), age_s=self._rounded_age())
                 self._note_failing()
+                self.first_read.set()
                 await asyncio.sleep(backoff_s * self.jitter())
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
                 continue
             if self.is_failing:
                 log_event("store_regained", revision=published.revision)
             self.is_failing = False
+            self.first_read.set()
             backoff_s = MIN_BACKOFF_S
             self._take_published(published)
             spent = self.loop.time() - started
@@ -243,7 +250,15 @@
     # Another subscribes to a process that reads.
 
     async def run_subscriber(self) -> None:
-        """Stay subscribed to the best source, until cancelled."""
+        """Stay subscribed to the best source, until cancelled.
+
+        Load pattern: after a power loss every process starts at once and knows the
+        seeds alone, whose links would carry the catalogue once for each of them.
+        Whoever can read the store needs none of that.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_READ_S):
+                await self.first_read.wait()
         while True:
             sources = self._sources()
             for rank, host in enumerate(sources):
--- a/plantainyoke/catalogue/tests/test_follower.py
+++ b/plantainyoke/catalogue/tests/test_follower.py
@@ -6,6 +6,7 @@
 from plantainyoke.catalogue import (
     Catalogue,
     CatalogueFollower,
+    Change,
     Configuration,
     Published,
     Target,
@@ -126,6 +127,20 @@
     return play
 
 
+class TestStart:
+    def test_seeds_are_left_alone_while_the_store_answers(self, fleet):
+        async def scenario(fleet):
+            await fleet.start(*fleet.hosts[:3])
+            seeds = [fleet.followers[host] for host in fleet.hosts[:3]]
+            served = []
+            for seed in seeds:
+                seed.server.snapshot = lambda: served.append(1) or Change(0, 0)
+            await fleet.start(*fleet.hosts[3:])
+            assert served == []
+
+        fleet(12, scenario)
+
+
 class TestReaders:
     def test_one_process_of_a_zone_reads(self, fleet):
         async def scenario(fleet):
