Judge the start of a process by what its subscriptions lack

The test counted any use of a seed's catalogue as a subscription at the start. Now a subscription by a process that knows nothing yet is what fails it, with a store that takes 50 ms; the old code fails it each time.

--- a/plantainyoke/catalogue/tests/test_follower.py
+++ b/plantainyoke/catalogue/tests/test_follower.py
@@ -6,7 +6,6 @@
 from plantainyoke.catalogue import (
     Catalogue,
     CatalogueFollower,
-    Change,
     Configuration,
     Published,
     Target,
@@ -35,6 +34,7 @@
         self.changed = asyncio.Event()
         self.calls: dict[int, int] = {}
         self.refused: set[int] = set()
+        self.delay_s = 0.0
 
     def publish(self, *targets: Target, version: int = 0) -> None:
         self.revision += 1
@@ -51,6 +51,7 @@
             self.calls[host] = self.calls.get(host, 0) + 1
             if host in self.refused:
                 raise StoreDownError
+            await asyncio.sleep(self.delay_s)
             if seen == self.revision:
                 try:
                     async with asyncio.timeout(WATCH_S):
@@ -131,12 +132,17 @@
     def test_seeds_are_left_alone_while_the_store_answers(self, fleet):
         async def scenario(fleet):
             await fleet.start(*fleet.hosts[:3])
-            seeds = [fleet.followers[host] for host in fleet.hosts[:3]]
-            served = []
-            for seed in seeds:
-                seed.server.snapshot = lambda: served.append(1) or Change(0, 0)
+            asked = []  # revisions that subscribers of the seeds had
+            for host in fleet.hosts[:3]:
+                server = fleet.followers[host].server
+                send = server._send_missing
+                server._send_missing = lambda writer, known, send=send: (
+                    asked.append(known) or send(writer, known)
+                )
+            fleet.store.delay_s = 0.05
             await fleet.start(*fleet.hosts[3:])
-            assert served == []
+            await asyncio.sleep(0.5)
+            assert 0 not in asked
 
         fleet(12, scenario)
 
