--- a/soak/_run.py
+++ b/soak/_run.py
@@ -74,6 +74,8 @@
         for _ in range(options.series):
             await _run_series(site, chooser, options.faults, result.faults)
             await _do_planned_work(site, chooser, result.faults)
+        if callers.done():
+            callers.result()  # raises what ended it
         callers.cancel()
         await _check_end(site)
         result.flows = len(site.callers)
@@ -169,6 +171,9 @@
 
 def _check_process(site: SoakSite, name: str) -> None:
     process = site.machines[name].process
+    if process.poll() is not None:
+        site.witness.report(site.now, "READY", f"{name} does not run at the end")
+        return
     pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
     memory_mb = pages * PAGE_SIZE / 1e6
     if memory_mb > MEMORY_LIMIT_MB:
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -9,8 +9,13 @@
 from pathlib import Path
 
 from plantainyoke.network import host_number
-from plantainyoke.standins import FakeCaller, PacketSite, SitePlan
-from plantainyoke.standins._packet_site import COLD_START_S, STORE_PORT
+from plantainyoke.standins import (
+    COLD_START_S,
+    STORE_PORT,
+    FakeCaller,
+    PacketSite,
+    SitePlan,
+)
 from soak._network import ProxiedNetwork
 from soak._witness import BOUNCED, Statement, Witness
 
--- a/soak/_witness.py
+++ b/soak/_witness.py
@@ -6,7 +6,11 @@
 
 from plantainyoke.flows import FlowKey
 from plantainyoke.network import host_text
-from plantainyoke.platform import parse_caller_packet, parse_target_packet
+from plantainyoke.platform import (
+    PacketError,
+    parse_caller_packet,
+    parse_target_packet,
+)
 
 SYN, RST, BOUNCED = 1, 2, 8
 FLAGS_AT, PADDING, MARK = 0, slice(1, 6), slice(10, 14)  # as the users' pages say
@@ -93,7 +97,7 @@
         """Check a packet that an agent gave to its target."""
         try:
             segment = parse_caller_packet(packet)
-        except Exception as error:  # whatever it is, it must not get here
+        except PacketError as error:
             self.report(now, "UNASKED", f"{machine.name}: {error}")
             return
         if _without_marks(packet) not in self.written[segment.flow]:
@@ -135,6 +139,7 @@
             self._check_cold(target.host, flow, now)
 
     def _check_bound(self, promise, statement, bound_s, machine, flow, now) -> None:
+        """Check that a flow opened after a bound had no reason to come here."""
         sent_at = self.first_sent[flow]
         if sent_at <= statement.since + bound_s:
             return
--- a/soak/tests/test_witness.py
+++ b/soak/tests/test_witness.py
@@ -3,20 +3,14 @@
 import pytest
 
 from plantainyoke.catalogue import Target
-from plantainyoke.standins._packet_site import Machine
-from plantainyoke.standins._packet_world import (
-    ACK,
-    RST,
-    SYN,
-    FakeCaller,
-    FakeTarget,
-    write_packet,
-)
+from plantainyoke.standins import FakeCaller, FakeTarget, Machine, write_packet
 from soak._witness import (
     APPLY_S,
     COLD_EXTRA,
     COLD_FACTOR,
+    RST,
     STABLE_S,
+    SYN,
     ZONE_OUT_S,
     Statement,
     Witness,
@@ -24,6 +18,7 @@
 
 FLOW = bytes((198, 18, 0, 1, 156, 64, 1, 187, 127, 1, 8, 1))
 HOST = 10
+ACK = 32
 START = 100.0
 
 
