Keep the bound of a search on routes with many services

Found on reading: 32 likely agents of each service may be more than 256 together, and the slice of the others then had a negative end.

--- a/plantainyoke/packet_agent/_finder.py
+++ b/plantainyoke/packet_agent/_finder.py
@@ -233,26 +233,25 @@
         """Return whom to ask first and later, and whether these are all."""
         catalogue = self.catalogue
         everyone = {*catalogue.by_host, *catalogue.departed}
-        if len(everyone) <= FIRST_CANDIDATES:
-            first = everyone
-        else:
-            first = self._likely_holders(flow)
+        is_small = len(everyone) <= FIRST_CANDIDATES
+        likely = list(everyone) if is_small else self._likely_holders(flow)
+        first = {self.host, *likely[: MAX_CANDIDATES - 1]}
         rest = list(everyone - first)
         later = set(rest[: MAX_CANDIDATES - len(first)])
         # Entries lapse while the store is away. Who started before they were back
         # knows that by its own target's, and cannot rule anybody out.
         is_whole = self.host in catalogue.by_host and len(later) == len(rest)
-        return first | {self.host}, later - {self.host}, is_whole
+        return first, later, is_whole
 
-    def _likely_holders(self, flow: FlowKey) -> set[int]:
+    def _likely_holders(self, flow: FlowKey) -> list[int]:
         """Return the agents among which the flow was placed, if little has changed."""
         catalogue = self.catalogue
         route = catalogue.routes.get(service_endpoint(flow))
-        likely: set[int] = set()
+        likely: list[int] = []
         for share in route.shares if route else ():
             targets = catalogue.by_service.get(share.service, {}).values()
             drawn = draw_targets(targets, flow, FIRST_CANDIDATES)
-            likely.update(target.host for target in drawn)
+            likely += [target.host for target in drawn]
         return likely
 
     def _widen_or_end(self, segment: Segment, search: Search, ingress: Ingress) -> None:
--- a/plantainyoke/packet_agent/tests/test_finder.py
+++ b/plantainyoke/packet_agent/tests/test_finder.py
@@ -1,6 +1,7 @@
 import msgspec
 
 from plantainyoke.flows import Kind, decode_message
+from plantainyoke.packet_agent import _finder
 from plantainyoke.packet_agent._finder import FIRST_CANDIDATES, POINTER_KEPT_S
 from plantainyoke.standins import PacketWorld
 
@@ -88,6 +89,17 @@
         assert [caller.reset_at for caller in callers] == [None] * len(callers)
         assert all(caller.answered for caller in callers)
 
+    def test_a_search_asks_no_more_agents_than_stated(self, monkeypatch):
+        monkeypatch.setattr(_finder, "FIRST_CANDIDATES", 8)
+        monkeypatch.setattr(_finder, "MAX_CANDIDATES", 10)
+        world = PacketWorld({"orders": 12, "drawings": 12, "plans": 12})
+        world.publish_shares(orders=1, drawings=1, plans=1)
+        world.run(0.1)
+        caller = world.open_flow()
+        first, later, complete = world.agent(12).finder._search_candidates(caller.flow)
+        assert len(first | later) <= 10
+        assert not complete
+
     def test_a_flow_that_nobody_holds_is_reset_once_all_have_denied(self):
         world = PacketWorld({"orders": 80})
         caller = world.open_flow()
