Bound the subscribers of a source

Change: a source takes 128 subscribers and sends others to their next source; the tree needs 16 to 32.

--- a/plantainyoke/catalogue/_links.py
+++ b/plantainyoke/catalogue/_links.py
@@ -18,6 +18,7 @@
 ALIVE_INTERVAL_S = 0.5
 CONNECT_TIMEOUT_S = 0.4  # round trips across zones take some 10 ms
 RECENT_CHANGES = 64  # half a minute of a release; who lacks more gets everything
+MAX_SUBSCRIBERS = 128  # eight times the fanout of the tree of sources
 LENGTH_SIZE = 4
 MAX_FRAME_SIZE = 64 * 1024 * 1024  # a snapshot of 55,000 targets has 10 MB
 MAX_PENDING_SIZE = 2 * MAX_FRAME_SIZE  # unsent bytes at which a subscriber is dropped
@@ -150,6 +151,10 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 request = _subscribe_decoder.decode(await _read_body(reader))
+            if len(self.subscribers) >= MAX_SUBSCRIBERS:
+                # In a start of everything all processes know the same seeds; who is
+                # sent away tries its next source.
+                raise LinkError("too many subscribers")
             self.subscribers[writer] = -1
             self._send_missing(writer, request.revision)
             while not writer.is_closing():
--- a/plantainyoke/catalogue/tests/test_links.py
+++ b/plantainyoke/catalogue/tests/test_links.py
@@ -3,10 +3,12 @@
 
 import pytest
 
-from plantainyoke.catalogue import Catalogue, Change, Target
+from plantainyoke.catalogue import Catalogue, Change, Target, _links
 from plantainyoke.catalogue._links import (
+    ALIVE_INTERVAL_S,
     RECENT_CHANGES,
     CatalogueServer,
+    LinkError,
     open_subscription,
     read_frame,
 )
@@ -94,6 +96,24 @@
 
         play(scenario)
 
+    def test_source_with_many_subscribers_sends_others_away(self, play, monkeypatch):
+        monkeypatch.setattr(_links, "MAX_SUBSCRIBERS", 2)
+
+        async def scenario(source):
+            source.grow()
+            links = []
+            for _ in range(2):
+                links.append(await open_subscription(source.address, 0))
+                assert (await read_frame(links[-1][0])).change is not None
+            reader, _ = await open_subscription(source.address, 0)
+            with pytest.raises(LinkError):
+                await read_frame(reader)
+            links[0][1].transport.abort()
+            await asyncio.sleep(2 * ALIVE_INTERVAL_S)
+            assert (await source.first_changes(0))[0] is not None
+
+        play(scenario)
+
     def test_each_change_follows(self, play):
         async def scenario(source):
             source.grow(2)
