--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,7 +62,7 @@
         flush=True,
     )
     for one in result.violations[:10]:
-        print(f"  {one.at_s:7.2f} s {one.promise}: {one.detail}", flush=True)
+        print(f"  {one.at_s:7.2f} s {one.promise.value}: {one.detail}", flush=True)
     return bool(result.violations)
 
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -9,7 +9,7 @@
 from plantainyoke.standins import FakeCaller, SitePlan
 from soak._faults import FAULTS, PLANNED_WORK, Fault
 from soak._site import SoakSite
-from soak._witness import Violation
+from soak._witness import Promise, Violation
 
 MAX_FLOWS = 150
 OPEN_INTERVAL_S = 0.03
@@ -134,21 +134,23 @@
         await site.wait_ready(*site.machines)
     except TimeoutError:
         late = [name for name in site.machines if not await site.is_ready(name)]
-        site.witness.report(site.now, "READY", f"{late} after all faults ended")
+        site.witness.report(
+            site.now, Promise.PROCESSES_READY, f"{late} after all faults ended"
+        )
 
 
 async def _check_end(site: SoakSite) -> None:
     """Check that every flow is found, new ones are served, and processes are well."""
     living = [one for one in site.callers.values() if site.is_open(one)]
-    await _check_answers(site, living, "FOUND")
+    await _check_answers(site, living, Promise.FLOWS_FOUND)
     fresh = [site.open_flow() for _ in range(NEW_FLOWS)]
     await _wait_for(lambda: all(one.opened for one in fresh))
-    await _check_answers(site, fresh, "SERVED")
+    await _check_answers(site, fresh, Promise.NEW_FLOWS_SERVED)
     for name in site.machines:
         _check_process(site, name)
 
 
-async def _check_answers(site: SoakSite, callers: list[FakeCaller], promise: str):
+async def _check_answers(site: SoakSite, callers: list[FakeCaller], promise: Promise):
     for caller in callers:
         caller.ask()
     await _wait_for(lambda: all(one.answered == one.asked for one in callers))
@@ -172,13 +174,17 @@
 def _check_process(site: SoakSite, name: str) -> None:
     process = site.machines[name].process
     if process.poll() is not None:
-        site.witness.report(site.now, "READY", f"{name} does not run at the end")
+        site.witness.report(
+            site.now, Promise.PROCESSES_READY, f"{name} does not run at the end"
+        )
         return
     pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
     memory_mb = pages * PAGE_SIZE / 1e6
     if memory_mb > MEMORY_LIMIT_MB:
-        site.witness.report(site.now, "MEMORY", f"{name} {memory_mb:.0f} MB")
+        site.witness.report(
+            site.now, Promise.MEMORY_BOUNDED, f"{name} {memory_mb:.0f} MB"
+        )
     log = site.log_of(name)
     for sign in ("Traceback", "event=task_failed"):
         if sign in log:
-            site.witness.report(site.now, "LOG", f"{name} wrote {sign}")
+            site.witness.report(site.now, Promise.LOGS_CLEAN, f"{name} wrote {sign}")
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -17,7 +17,7 @@
     SitePlan,
 )
 from soak._network import ProxiedNetwork
-from soak._witness import BOUNCED, Statement, Witness
+from soak._witness import BOUNCED, Promise, Statement, Witness
 
 FIRST_PORT = 18_720
 PORTS_PER_PROCESS = 20  # a range of sixteen and a gap
@@ -25,7 +25,6 @@
 GRACE_S = 3.5  # a little above the grace in the processes' settings
 POLL_S = 0.05
 FIRST_EVENT = "event=starting"
-OWN_ENDS = "process ended by itself"
 EXPECTED_CODES = {
     signal.SIGKILL: {-signal.SIGKILL},
     # A program that cannot serve yet has nothing to finish.
@@ -130,7 +129,9 @@
             if code is None or self.held[name]:
                 continue
             if not self._is_expected(name, code):
-                self.witness.report(self.now, OWN_ENDS, f"{name} with code {code}")
+                self.witness.report(
+                    self.now, Promise.PROCESSES_LIVE_ON, f"{name} with code {code}"
+                )
             await asyncio.sleep(RESTART_S)
             if not self.held[name]:
                 self.start_process(name)
@@ -232,7 +233,11 @@
     def _receive_caller(self, packet: bytes, source) -> None:
         caller = self.caller_of(packet)
         if caller is None:
-            self.witness.report(self.now, "MIXED", f"no caller for {packet.hex()}")
+            self.witness.report(
+                self.now,
+                Promise.CALLERS_GET_WHAT_WAS_WRITTEN,
+                f"no caller for {packet.hex()}",
+            )
             return
         holder = self.holder_of(caller)
         self.witness.check_at_caller(caller, holder, packet, self.now)
--- a/soak/_witness.py
+++ b/soak/_witness.py
@@ -3,6 +3,7 @@
 from bisect import bisect_left
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
+from enum import Enum
 
 from plantainyoke.flows import FlowKey
 from plantainyoke.network import host_text
@@ -21,12 +22,31 @@
 SECOND_S = 1.0
 
 
+class Promise(Enum):
+    """What is checked, by what is seen when it does not hold."""
+
+    FLOWS_LIVE_ON = "an open flow was reset"
+    TARGETS_GET_WHAT_WAS_WRITTEN = "a target got a packet that no caller wrote"
+    CALLERS_GET_WHAT_WAS_WRITTEN = "a caller got a packet that no target wrote"
+    SERVICES_HAVE_A_SHARE = "a service that never had a share got a flow"
+    CONFIGURATION_IN_FORCE = "a flow was opened by an old configuration"
+    DRAINING_TARGETS_LEFT_ALONE = "a draining target got a flow"
+    ZONES_OUT_LEFT_ALONE = "a zone taken out got a flow"
+    COLD_TARGETS_SPARED = "a cold target got too many flows"
+    PROCESSES_LIVE_ON = "a process ended by itself"
+    PROCESSES_READY = "a process is not ready"
+    FLOWS_FOUND = "an open flow was not found"
+    NEW_FLOWS_SERVED = "a new flow was not served"
+    MEMORY_BOUNDED = "a process is too large"
+    LOGS_CLEAN = "a log shows a failure of the program"
+
+
 @dataclass(frozen=True)
 class Violation:
     """A promise that did not hold."""
 
     at_s: float
-    promise: str
+    promise: Promise
     detail: str
 
 
@@ -76,7 +96,7 @@
     faults: list[list[float]] = field(default_factory=list)
     violations: list[Violation] = field(default_factory=list)
 
-    def report(self, now: float, promise: str, detail: str) -> None:
+    def report(self, now: float, promise: Promise, detail: str) -> None:
         """Note a violation."""
         at_s = round(now - self.started_at, 2)
         self.violations.append(Violation(at_s, promise, detail))
@@ -98,10 +118,16 @@
         try:
             segment = parse_caller_packet(packet)
         except PacketError as error:
-            self.report(now, "UNASKED", f"{machine.name}: {error}")
+            self.report(
+                now, Promise.TARGETS_GET_WHAT_WAS_WRITTEN, f"{machine.name}: {error}"
+            )
             return
         if _without_marks(packet) not in self.written[segment.flow]:
-            self.report(now, "UNASKED", f"{machine.name} got {packet[:36].hex()}")
+            self.report(
+                now,
+                Promise.TARGETS_GET_WHAT_WAS_WRITTEN,
+                f"{machine.name} got {packet[:36].hex()}",
+            )
         if segment.opens:
             self._check_opening(target, machine, segment.flow, now)
 
@@ -119,22 +145,41 @@
         if packet[FLAGS_AT] & RST:
             if holder is not None:
                 port = int.from_bytes(caller.flow[4:6], "big")
-                self.report(now, "FLOW", f"port {port} reset, {holder} holds it")
+                self.report(
+                    now, Promise.FLOWS_LIVE_ON, f"port {port} reset, {holder} holds it"
+                )
         elif _without_marks(packet) not in self.written[caller.flow]:
-            self.report(now, "MIXED", f"caller got {packet[:36].hex()}")
+            self.report(
+                now,
+                Promise.CALLERS_GET_WHAT_WAS_WRITTEN,
+                f"caller got {packet[:36].hex()}",
+            )
 
     def _check_opening(self, target, machine, flow: FlowKey, now: float) -> None:
         service = target.entry.service
         if service not in self.ever_shared:
-            self.report(now, "ROUTE", f"{machine.name} of {service}")
+            self.report(
+                now, Promise.SERVICES_HAVE_A_SHARE, f"{machine.name} of {service}"
+            )
         if service not in self.shares.value:
-            self._check_bound("CONFIG", self.shares, APPLY_S, machine, flow, now)
+            self._check_bound(
+                Promise.CONFIGURATION_IN_FORCE, self.shares, APPLY_S, machine, flow, now
+            )
         if machine.name in self.draining:
             statement = self.draining[machine.name]
-            self._check_bound("DRAIN", statement, APPLY_S, machine, flow, now)
+            self._check_bound(
+                Promise.DRAINING_TARGETS_LEFT_ALONE,
+                statement,
+                APPLY_S,
+                machine,
+                flow,
+                now,
+            )
         if machine.zone in self.zones_out:
             statement = self.zones_out[machine.zone]
-            self._check_bound("EVAC", statement, ZONE_OUT_S, machine, flow, now)
+            self._check_bound(
+                Promise.ZONES_OUT_LEFT_ALONE, statement, ZONE_OUT_S, machine, flow, now
+            )
         if target.host in self.cold_rates:
             self._check_cold(target.host, flow, now)
 
@@ -158,7 +203,11 @@
         inside = len(sent) - bisect_left(sent, now - SECOND_S)
         bound = self.cold_rates[host] * COLD_FACTOR + COLD_EXTRA
         if inside > bound:
-            self.report(now, "FAILBACK", f"{host_text(host)}: {inside} in a second")
+            self.report(
+                now,
+                Promise.COLD_TARGETS_SPARED,
+                f"{host_text(host)}: {inside} in a second",
+            )
 
 
 def _without_marks(packet: bytes) -> bytes:
--- a/soak/tests/test_witness.py
+++ b/soak/tests/test_witness.py
@@ -12,6 +12,7 @@
     STABLE_S,
     SYN,
     ZONE_OUT_S,
+    Promise,
     Statement,
     Witness,
 )
@@ -69,17 +70,17 @@
         witness.note_written(packet, START, by_target=False)
         changed = packet[:-1] + b"y"
         witness.check_at_target(_target(), _machine(), changed, START)
-        assert _promises(witness) == {"UNASKED"}
+        assert _promises(witness) == {Promise.TARGETS_GET_WHAT_WAS_WRITTEN}
 
     def test_bytes_that_are_no_packet(self, witness):
         witness.check_at_target(_target(), _machine(), b"x", START)
-        assert _promises(witness) == {"UNASKED"}
+        assert _promises(witness) == {Promise.TARGETS_GET_WHAT_WAS_WRITTEN}
 
     def test_answer_that_no_target_wrote(self, witness):
         packet = write_packet(FLOW, ACK, payload=b"x", from_target=True)
         caller = FakeCaller(None, FLOW)
         witness.check_at_caller(caller, "agent-1", packet, START)
-        assert _promises(witness) == {"MIXED"}
+        assert _promises(witness) == {Promise.CALLERS_GET_WHAT_WAS_WRITTEN}
 
     def test_reset_of_a_flow_that_is_held(self, witness):
         packet = write_packet(FLOW, RST, from_target=True)
@@ -87,29 +88,29 @@
         witness.check_at_caller(caller, None, packet, START)
         assert not witness.violations
         witness.check_at_caller(caller, "agent-1", packet, START)
-        assert _promises(witness) == {"FLOW"}
+        assert _promises(witness) == {Promise.FLOWS_LIVE_ON}
 
 
 class TestPublishedState:
     def test_service_that_never_had_a_share(self, witness):
         _deliver(witness, START + 1, service="drawings")
-        assert _promises(witness) == {"ROUTE"}
+        assert _promises(witness) == {Promise.SERVICES_HAVE_A_SHARE}
 
     @pytest.mark.parametrize(
         ("promise", "bound_s", "publish"),
         [
             (
-                "CONFIG",
+                Promise.CONFIGURATION_IN_FORCE,
                 APPLY_S,
                 lambda w: setattr(w, "shares", Statement(START, {"drawings"})),
             ),
             (
-                "DRAIN",
+                Promise.DRAINING_TARGETS_LEFT_ALONE,
                 APPLY_S,
                 lambda w: w.draining.update({"agent-1": Statement(START)}),
             ),
             (
-                "EVAC",
+                Promise.ZONES_OUT_LEFT_ALONE,
                 ZONE_OUT_S,
                 lambda w: w.zones_out.update({"a": Statement(START)}),
             ),
@@ -129,7 +130,7 @@
         assert not witness.violations
         witness.faults[0] = [START - 9, START - STABLE_S - 0.1]
         _deliver(witness, START + APPLY_S + 1, flow=_flow(1))
-        assert _promises(witness) == {"DRAIN"}
+        assert _promises(witness) == {Promise.DRAINING_TARGETS_LEFT_ALONE}
 
     def test_cold_target(self, witness):
         witness.cold_rates[HOST] = 4.0
@@ -141,4 +142,4 @@
         assert not witness.violations
         for number in range(bound):
             _deliver(witness, START + 2 + number / 100, flow=_flow(100 + number))
-        assert _promises(witness) == {"FAILBACK"}
+        assert _promises(witness) == {Promise.COLD_TARGETS_SPARED}
