--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -102,7 +102,7 @@
         self.metrics = metrics
         self.jitter = jitter
         self.editor = CatalogueEditor()
-        self.server = CatalogueServer(catalogue.snapshot, self.told_age_s, metrics)
+        self.server = CatalogueServer(catalogue, self.told_age_s, metrics)
         self.is_failing = False
         self.reads = True
         self.loaded = asyncio.Event()
--- a/plantainyoke/catalogue/_links.py
+++ b/plantainyoke/catalogue/_links.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from plantainyoke.catalogue._catalogue import Catalogue
 from plantainyoke.catalogue._types import Change
 from plantainyoke.network import Address, serve_connections
 from plantainyoke.telemetry import Metrics, log_event
@@ -108,8 +109,7 @@
 
     Parameters
     ----------
-    snapshot : callable
-        Returns everything as one `Change`.
+    catalogue : Catalogue
     age_s : callable
         Returns the time since the store confirmed the view.
     metrics : Metrics
@@ -117,12 +117,12 @@
 
     def __init__(
         self,
-        snapshot: Callable[[], Change],
+        catalogue: Catalogue,
         age_s: Callable[[], float],
         metrics: Metrics,
     ) -> None:
         self.metrics = metrics
-        self.snapshot = snapshot
+        self.catalogue = catalogue
         self.age_s = age_s
         self.subscribers: dict[asyncio.StreamWriter, int] = {}
         self.recent: deque[Change] = deque(maxlen=RECENT_CHANGES)
@@ -133,11 +133,13 @@
         stack.callback(self._close_all)
 
     def publish(self, change: Change) -> None:
-        """Send a change to every subscriber that has what it builds on."""
+        """Send a change to every subscriber, but those that know more."""
         self.recent.append(change)
         for writer, revision in list(self.subscribers.items()):
+            if revision < 0:
+                continue
             with suppress(LinkError):  # its task sees the closed link and ends
-                self._send(writer, revision, change)
+                self._send_missing(writer, revision)
 
     def announce_age(self) -> None:
         """Tell every subscriber at once how old the view is."""
@@ -190,14 +192,15 @@
 
     def _changes_after(self, known: int) -> list[Change] | None:
         """Return the changes after a revision, None if that is not reached here."""
-        snapshot = self.snapshot()
-        if not snapshot.revision or snapshot.revision < known:
+        revision = self.catalogue.revision
+        if not revision or revision < known:
             return None
+        if revision == known:
+            return []
         missing = [change for change in self.recent if change.revision > known]
-        kept = missing and missing[0].since <= known
-        if snapshot.revision == known or (known and kept):
+        if known and missing and missing[0].since <= known:
             return missing
-        return [snapshot]
+        return [self.catalogue.snapshot()]
 
     def _send_alive(self, writer: asyncio.StreamWriter, wanted: int) -> None:
         if self.subscribers.get(writer, -1) < 0:
@@ -205,16 +208,6 @@
         else:
             self._write(writer, Frame(self._age_ms()))
 
-    def _send(
-        self, writer: asyncio.StreamWriter, revision: int, change: Change
-    ) -> None:
-        if revision < 0 or change.revision <= revision:
-            return
-        if change.since > revision:
-            change = self.snapshot()
-        self._write(writer, Frame(self._age_ms(), change))
-        self.subscribers[writer] = change.revision
-
     def _write(self, writer: asyncio.StreamWriter, frame: Frame) -> None:
         if writer.is_closing():
             raise LinkError("closed")
--- a/plantainyoke/catalogue/tests/test_links.py
+++ b/plantainyoke/catalogue/tests/test_links.py
@@ -1,5 +1,4 @@
 import asyncio
-from contextlib import AsyncExitStack
 
 import pytest
 
@@ -12,6 +11,7 @@
     open_subscription,
     read_frame,
 )
+from plantainyoke.conftest import play_in
 from plantainyoke.telemetry import Metrics
 
 PORT = 9_500
@@ -23,7 +23,7 @@
     def __init__(self, network: str) -> None:
         self.address = (f"{network}.0.1", PORT)
         self.catalogue = Catalogue()
-        self.server = CatalogueServer(self.catalogue.snapshot, lambda: 0.0, Metrics())
+        self.server = CatalogueServer(self.catalogue, lambda: 0.0, Metrics())
 
     def grow(self, count: int = 1) -> None:
         for _ in range(count):
@@ -45,16 +45,12 @@
 def play(network, run):
     """Return a function that plays a scenario with a source."""
 
-    def _play(scenario):
-        async def main():
-            async with AsyncExitStack() as stack:
-                source = Source(network)
-                await source.server.listen(source.address, stack)
-                await scenario(source)
+    async def create(stack):
+        source = Source(network)
+        await source.server.listen(source.address, stack)
+        return source
 
-        run(main())
-
-    return _play
+    return play_in(run, create)
 
 
 class TestSubscriptions:
--- a/plantainyoke/conftest.py
+++ b/plantainyoke/conftest.py
@@ -1,7 +1,9 @@
 """Shared fixtures of the tests."""
 
+import asyncio
 import os
 from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
 
 import looptime
 import pytest
@@ -31,6 +33,40 @@
     return uvloop.run
 
 
+def play_in(run, create: Callable[[AsyncExitStack], Awaitable]) -> Callable:
+    """Return a function that plays a scenario in a world that a stack closes.
+
+    Parameters
+    ----------
+    run : callable
+        Runs a coroutine.
+    create : callable
+        Coroutine function that returns the world; called with the stack.
+    """
+
+    def play(scenario: Callable[[object], Awaitable]) -> None:
+        async def main() -> None:
+            async with AsyncExitStack() as stack:
+                await scenario(await create(stack))
+
+        run(main())
+
+    return play
+
+
+async def until(condition: Callable[[], object], seconds: float = 3.0) -> None:
+    """Wait until a condition holds.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not hold in time.
+    """
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
 def run_virtual(coroutine: Awaitable) -> object:
     """Run a coroutine on an event loop whose time passes at once."""
     loop = looptime.new_event_loop(start=0)
