--- a/plantainyoke/agent/tests/test_upstream.py
+++ b/plantainyoke/agent/tests/test_upstream.py
@@ -10,6 +10,7 @@
 from plantainyoke.agent._messages import BufferSink
 from plantainyoke.agent._upstream import Upstream
 from plantainyoke.configuration import ServiceRecord
+from plantainyoke.conftest import play_in
 from plantainyoke.standins import UpstreamOptions, UpstreamStandin
 from plantainyoke.telemetry import Metrics
 
@@ -104,16 +105,12 @@
 def play(network, run):
     """Return a function that plays a scenario with a pair."""
 
-    def _play(scenario):
-        async def _run():
-            async with AsyncExitStack() as stack:
-                pair = Pair(network)
-                await pair.open(stack)
-                await scenario(pair)
+    async def create(stack):
+        pair = Pair(network)
+        await pair.open(stack)
+        return pair
 
-        run(_run())
-
-    return _play
+    return play_in(run, create)
 
 
 class TestAbandonedRequest:
--- a/plantainyoke/tests/test_operations.py
+++ b/plantainyoke/tests/test_operations.py
@@ -4,24 +4,8 @@
 import re
 import signal
 
-import pytest
-
+from plantainyoke.conftest import until
 from plantainyoke.flows import describe_flow
-from plantainyoke.standins import PacketSite, SitePlan
-
-
-@pytest.fixture
-def site(run, network, tmp_path):
-    """Return a function that plays a scenario on a site."""
-
-    def play(scenario):
-        async def main():
-            async with PacketSite(SitePlan(network), tmp_path) as site:
-                await scenario(site)
-
-        run(main())
-
-    return play
 
 
 def _find(site, flow: str, event: str) -> list[dict[str, str]]:
@@ -35,19 +19,13 @@
     return found
 
 
-async def _until(condition, seconds=3.0):
-    async with asyncio.timeout(seconds):
-        while not condition():
-            await asyncio.sleep(0.02)
-
-
 class TestResetBeforeItOpened:
     def test_every_target_refused(self, site):
         async def scenario(site):
             for target in site.targets.values():
                 target.accepts = False
             caller = site.open_flow()
-            await _until(lambda: caller.reset_at is not None)
+            await until(lambda: caller.reset_at is not None)
             flow = describe_flow(caller.flow)
             (reset,) = _find(site, flow, "flow_reset")
             assert reset["reason"] == "no_target"
@@ -64,7 +42,7 @@
             site.publish_shares()
             await asyncio.sleep(1.0)
             caller = site.open_flow()
-            await _until(lambda: caller.reset_at is not None)
+            await until(lambda: caller.reset_at is not None)
             (reset,) = _find(site, describe_flow(caller.flow), "flow_reset")
             assert reset["reason"] == "no_target"
             assert reset["version"] == str(site.version)
@@ -76,12 +54,12 @@
     def test_target_started_again(self, site):
         async def scenario(site):
             caller = site.open_flow()
-            await _until(lambda: caller.opened and site.holder_of(caller))
+            await until(lambda: caller.opened and site.holder_of(caller))
             holder = site.holder_of(caller)
             for target in site.targets.values():
                 target.restart()
             caller.ask()
-            await _until(lambda: caller.reset_at is not None)
+            await until(lambda: caller.reset_at is not None)
             flow = describe_flow(caller.flow)
             (held,) = _find(site, flow, "flow_held")
             assert held["target"] == f"t-{holder}"
@@ -95,7 +73,7 @@
     def test_holder_is_among_the_machines_that_do_not_answer(self, site):
         async def scenario(site):
             caller = site.open_flow()
-            await _until(lambda: caller.opened and site.holder_of(caller))
+            await until(lambda: caller.opened and site.holder_of(caller))
             holder = site.holder_of(caller)
             site.send_signal(holder, signal.SIGKILL)
             for name in site.machines:
@@ -105,7 +83,7 @@
             await site.wait_ready(*others)
             caller.ask()
             flow = describe_flow(caller.flow)
-            await _until(lambda: _find(site, flow, "search_unanswered"), 9.0)
+            await until(lambda: _find(site, flow, "search_unanswered"), 9.0)
             line = _find(site, flow, "search_unanswered")[0]
             assert site.machines[holder].ip in line["silent"].split(",")
             assert caller.reset_at is None
@@ -116,14 +94,14 @@
     def test_process_that_stood_still_says_so(self, site):
         async def scenario(site):
             caller = site.open_flow()
-            await _until(lambda: caller.opened and site.holder_of(caller))
+            await until(lambda: caller.opened and site.holder_of(caller))
             holder = site.holder_of(caller)
             site.send_signal(holder, signal.SIGSTOP)
             caller.ask()
             await asyncio.sleep(1.2)
             assert caller.answered == 0
             site.send_signal(holder, signal.SIGCONT)
-            await _until(lambda: caller.answered == 1)
+            await until(lambda: caller.answered == 1)
             assert "event=paused" in site.log_of(holder)
 
         site(scenario)
--- a/plantainyoke/tests/test_packet_processes.py
+++ b/plantainyoke/tests/test_packet_processes.py
@@ -7,46 +7,24 @@
 import urllib.error
 import urllib.request
 
-import pytest
-
-from plantainyoke.standins import PacketSite, SitePlan
+from plantainyoke.conftest import until
 
 METRICS_PORT = 9464
 
 
-@pytest.fixture
-def site(run, network, tmp_path):
-    """Return a function that plays a scenario on a site."""
-
-    def play(scenario, **plan):
-        async def main():
-            async with PacketSite(SitePlan(network, **plan), tmp_path) as site:
-                await scenario(site)
-
-        run(main())
-
-    return play
-
-
 async def _open(site, count):
     callers = [site.open_flow() for _ in range(count)]
-    await _until(lambda: all(caller.opened for caller in callers))
+    await until(lambda: all(caller.opened for caller in callers))
     return callers
 
 
 async def _ask_all(site, callers, *, within=3.0):
     for caller in callers:
         caller.ask()
-    await _until(lambda: all(one.answered == one.asked for one in callers), within)
+    await until(lambda: all(one.answered == one.asked for one in callers), within)
     assert [caller.reset_at for caller in callers] == [None] * len(callers)
 
 
-async def _until(condition, seconds=3.0):
-    async with asyncio.timeout(seconds):
-        while not condition():
-            await asyncio.sleep(0.02)
-
-
 def _get(site, name, path):
     url = f"http://{site.machines[name].ip}:{METRICS_PORT}{path}"
     with urllib.request.urlopen(url, timeout=2) as response:
@@ -86,7 +64,7 @@
             await _ask_all(site, callers)
             fresh = await _open(site, 20)
             # A caller counts as open before its target has the end of the handshake.
-            await _until(lambda: all(site.holder_of(one) for one in fresh))
+            await until(lambda: all(site.holder_of(one) for one in fresh))
             holders = [site.machines[site.holder_of(one)] for one in fresh]
             assert {(one.service, one.zone) for one in holders} == {("drawings", "b")}
 
@@ -98,7 +76,7 @@
             for target in site.targets.values():
                 target.restart()
             caller.ask()
-            await _until(lambda: caller.reset_at is not None, 0.5)
+            await until(lambda: caller.reset_at is not None, 0.5)
 
         site(scenario)
 
--- a/soak/tests/test_network.py
+++ b/soak/tests/test_network.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from plantainyoke.conftest import play_in
 from plantainyoke.network import DatagramSocket
 from plantainyoke.telemetry import Metrics
 from soak._network import ProxiedNetwork
@@ -59,16 +60,12 @@
 def play(network, run):
     """Return a function that plays a scenario with a pair."""
 
-    def _play(scenario):
-        async def _run():
-            async with AsyncExitStack() as stack:
-                pair = Pair(network)
-                await pair.open(stack)
-                await scenario(pair)
+    async def create(stack):
+        pair = Pair(network)
+        await pair.open(stack)
+        return pair
 
-        run(_run())
-
-    return _play
+    return play_in(run, create)
 
 
 class TestDatagrams:
