--- a/plantainyoke/packet_balancer/_steering.py
+++ b/plantainyoke/packet_balancer/_steering.py
@@ -250,14 +250,14 @@
         if route is None:
             self._reset(segment, "no_route")
             return
-        targets = self._choose_targets(route, entry, flow, now)
+        targets, mostly_cold = self._choose_targets(route, entry, flow, now)
         if not targets:
             self._give_up_placing(segment, entry)
             return
         service = targets[0].service
         entry.offered = [target.host for target in targets]
         entry.service = service_identifier(service)
-        entry.mostly_cold = is_mostly_cold(self.catalogue.usable(service))
+        entry.mostly_cold = mostly_cold
         entry.attempts += 1
         entry.packet = segment
         entry.deadline = now + PLACE_TIMEOUT_S
@@ -301,22 +301,25 @@
 
     def _choose_targets(
         self, route: Route, entry: CachedFlow, flow: FlowKey, now: float
-    ) -> list[Target]:
-        """Return the targets to try, the preferred first."""
-        ranked = []
-        for service in choose_service(route, flow):
-            usable = [
-                target
-                for target in self.catalogue.usable(service)
-                if target.host not in entry.tried
-            ]
-            ranked.append(
-                rank_targets(
-                    usable, flow=flow, zone=self.zone, peers=self.peers, now=now
-                )
+    ) -> tuple[list[Target], bool]:
+        """Return whom to try, the preferred first, and if their service is cold."""
+        usable = {
+            service: self.catalogue.usable(service)
+            for service in choose_service(route, flow)
+        }
+        ranked = [
+            rank_targets(
+                [target for target in targets if target.host not in entry.tried],
+                flow=flow,
+                zone=self.zone,
+                peers=self.peers,
+                now=now,
             )
+            for targets in usable.values()
+        ]
         chosen = prefer_idle_service(ranked, peers=self.peers, now=now)
-        return chosen[: MAX_ALTERNATES + 1]
+        mostly_cold = bool(chosen) and is_mostly_cold(usable[chosen[0].service])
+        return chosen[: MAX_ALTERNATES + 1], mostly_cold
 
     def _send_opening(self, segment: Segment, entry: CachedFlow) -> None:
         first, *alternates = entry.offered
