Share explanations and malformed input between the packet programs

Balancer and agent parsed the flow asked for, and counted and logged unreadable datagrams, each in the same way; the node they share does it.

--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -4,12 +4,7 @@
 import time
 
 from plantainyoke.catalogue import Change
-from plantainyoke.flows import (
-    FlowNameError,
-    caller_host,
-    describe_flow,
-    parse_flow,
-)
+from plantainyoke.flows import FlowKey, caller_host
 from plantainyoke.network import Address, DatagramSocket
 from plantainyoke.packet_agent._delivery import Delivery
 from plantainyoke.packet_agent._outbox import AgentPorts
@@ -60,7 +55,7 @@
     async def start(self) -> None:
         """Serve as soon as the catalogue is known."""
         node = self.node
-        node.queries["/explain"] = self.explain
+        node.explain_flows(self.describe_flow)
         await node.open()
         # What the target sends goes out even while the catalogue is unknown.
         self.target_socket = DatagramSocket(
@@ -89,15 +84,10 @@
         log_event("draining", flows=len(self.delivery.holdings.flows))
         await asyncio.sleep(LEAVE_S)
 
-    def explain(self, parameters: dict[str, str]) -> dict:
+    def describe_flow(self, flow: FlowKey) -> dict:
         """Return what is known of a flow."""
-        try:
-            flow = parse_flow(parameters.get("flow", ""))
-        except FlowNameError as error:
-            return {"error": str(error)}
         held = self.delivery.holdings.flows.get(flow)
         answer = {
-            "flow": describe_flow(flow),
             "held": held is not None,
             "half_open": flow in self.delivery.holdings.half_open,
             "pointer": self.delivery.finder.homes.find(flow),
@@ -114,8 +104,7 @@
         try:
             segment = node.codec.parse_from_target(datagram)
         except node.codec.failure as error:
-            node.metrics.counters["drop.packet_malformed"] += 1
-            log_event("packet_malformed", source=source[0], error=str(error))
+            node.note_malformed("packet", source, error)
             return
         self.delivery.receive_from_target(segment, node.loop.time())
 
--- a/plantainyoke/packet_balancer/_program.py
+++ b/plantainyoke/packet_balancer/_program.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from plantainyoke.flows import FlowNameError, describe_flow, parse_flow
+from plantainyoke.flows import FlowKey
 from plantainyoke.flows import caller_host as caller_host_of
 from plantainyoke.network import Address, DatagramSocket
 from plantainyoke.packet_balancer._steering import BalancerPorts, Steering
@@ -43,7 +43,7 @@
     async def start(self) -> None:
         """Serve as soon as the catalogue is known."""
         node = self.node
-        node.queries["/explain"] = self.explain
+        node.explain_flows(self.describe_flow)
         await node.open()
         node.listen_for_messages(self.steering.receive_message)
         await node.load()
@@ -75,17 +75,12 @@
             await asyncio.sleep(QUIET_S / 4)
         log_event("drained", took_s=round(node.loop.time() - started, 2))
 
-    def explain(self, parameters: dict[str, str]) -> dict:
+    def describe_flow(self, flow: FlowKey) -> dict:
         """Return what is known of a flow."""
-        try:
-            flow = parse_flow(parameters.get("flow", ""))
-        except FlowNameError as error:
-            return {"error": str(error)}
         entry = self.steering.cache.get(flow)
         if entry is None:
-            return {"flow": describe_flow(flow), "known": False}
+            return {"known": False}
         return {
-            "flow": describe_flow(flow),
             "known": True,
             "holder": entry.holder,
             "open": entry.open,
@@ -102,8 +97,7 @@
                 return
             segment = node.codec.parse_from_caller(datagram)
         except node.codec.failure as error:
-            node.metrics.counters["drop.packet_malformed"] += 1
-            log_event("packet_malformed", source=source[0], error=str(error))
+            node.note_malformed("packet", source, error)
             return
         self.steering.receive_packet(segment, now)
 
--- a/plantainyoke/packet_node/_node.py
+++ b/plantainyoke/packet_node/_node.py
@@ -10,7 +10,15 @@
 import msgspec
 
 from plantainyoke.catalogue import Catalogue, CatalogueFollower, Published
-from plantainyoke.flows import Message, MessageError, decode_message
+from plantainyoke.flows import (
+    FlowKey,
+    FlowNameError,
+    Message,
+    MessageError,
+    decode_message,
+    describe_flow,
+    parse_flow,
+)
 from plantainyoke.hashing import zone_identifier
 from plantainyoke.network import (
     Address,
@@ -137,13 +145,29 @@
                 message = decode_message(datagram)
                 receive(message, host_number(source[0]), self.loop.time())
             except (MessageError, self.codec.failure) as error:
-                self.metrics.counters["drop.message_malformed"] += 1
-                log_event("message_malformed", source=source[0], error=str(error))
+                self.note_malformed("message", source, error)
 
         address = self.settings.ip, self.settings.messages_port
         self.socket = DatagramSocket(address, decode, self.metrics)
         self.stack.callback(self.socket.close)
 
+    def note_malformed(self, kind: str, source: Address, error: Exception) -> None:
+        """Count and log a datagram that is dropped because it cannot be read."""
+        self.metrics.counters[f"drop.{kind}_malformed"] += 1
+        log_event(f"{kind}_malformed", source=source[0], error=str(error))
+
+    def explain_flows(self, describe: Callable[[FlowKey], dict]) -> None:
+        """Answer ``/explain`` with what a role knows of the flow asked for."""
+
+        def explain(parameters: dict[str, str]) -> dict:
+            try:
+                flow = parse_flow(parameters.get("flow", ""))
+            except FlowNameError as error:
+                return {"error": str(error)}
+            return {"flow": describe_flow(flow), **describe(flow)}
+
+        self.queries["/explain"] = explain
+
     def check_standstill(self) -> bool:
         """Tell whether this process stood still; its view has aged meanwhile."""
         gap_s = self.standstill.look()
