--- a/plantainyoke/flows/_segment.py
+++ b/plantainyoke/flows/_segment.py
@@ -5,10 +5,11 @@
 """
 
 import socket
-from dataclasses import dataclass
 
 import msgspec
 
+from plantainyoke.network import AddressError
+
 FlowKey = bytes
 
 FLOW_KEY_SIZE = 12
@@ -62,21 +63,8 @@
     return f"{caller_host(flow)}:{caller_port}>{service}:{service_port}"
 
 
-@dataclass
-class FlowNameError(ValueError):
-    """A text that does not name a flow.
-
-    Attributes
-    ----------
-    text : str
-    problem : str
-    """
-
-    text: str
-    problem: str
-
-    def __str__(self) -> str:
-        return f"{self.text!r} {self.problem}"
+class FlowNameError(AddressError):
+    """A text that does not name a flow, which is written as two addresses."""
 
 
 def parse_flow(text: str) -> FlowKey:
