Reserve a loopback network by a bound socket

Change: reserve_network binds a datagram socket on an address of the network for as long as it is used, and skips networks that another process has bound. Tests, both demos and the soak use it.

--- a/plantainyoke/cli/commands/_demo.py
+++ b/plantainyoke/cli/commands/_demo.py
@@ -14,9 +14,13 @@
 import uvloop
 
 from plantainyoke.cli._exit import EXIT_FAILURE, EXIT_SUCCESS
-from plantainyoke.standins import FakeCaller, PacketFleet, PacketFleetPlan
+from plantainyoke.standins import (
+    FakeCaller,
+    PacketFleet,
+    PacketFleetPlan,
+    reserve_network,
+)
 
-DEMO_NETWORK = "127.31"
 FLOW_COUNT = 40
 ANSWER_TIMEOUT_S = 3.0
 PROPAGATION_S = 1.0  # time for a change to reach every process
@@ -38,13 +42,13 @@
 
 def run(options: argparse.Namespace) -> int:
     """Run the demo; succeed only if every flow was answered after each step."""
-    plan = PacketFleetPlan(
-        DEMO_NETWORK,
-        services={"orders": 4, "drawings": 2},
-        balancers=3,
-        zones=("plateau", "rufisque", "pikine"),
-    )
-    with tempfile.TemporaryDirectory() as directory:
+    with tempfile.TemporaryDirectory() as directory, reserve_network() as prefix:
+        plan = PacketFleetPlan(
+            prefix,
+            services={"orders": 4, "drawings": 2},
+            balancers=3,
+            zones=("plateau", "rufisque", "pikine"),
+        )
         failures = uvloop.run(_run_scenario(plan, Path(directory), options.seed))
     print("every flow was answered" if not failures else f"{failures} requests failed")
     return EXIT_FAILURE if failures else EXIT_SUCCESS
--- a/plantainyoke/cli/commands/_demo_quic.py
+++ b/plantainyoke/cli/commands/_demo_quic.py
@@ -9,16 +9,21 @@
 import asyncio
 import tempfile
 from collections import Counter
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 import uvloop
 
 from plantainyoke.caller import CallerError, RefusedError, Session
 from plantainyoke.cli._exit import EXIT_FAILURE, EXIT_SUCCESS
-from plantainyoke.standins import EmbeddedFleet, FleetPlan, ServicePlan
+from plantainyoke.standins import (
+    EmbeddedFleet,
+    FleetPlan,
+    ServicePlan,
+    reserve_network,
+)
 from plantainyoke.telemetry import configure_logging
 
-DEMO_NETWORK = "127.30"
 LONG_SESSION_CALLERS = 4
 SHORT_SESSION_CALLERS = 4
 ORDERS_PER_SHORT_SESSION = 20
@@ -97,8 +102,12 @@
     async def run(self) -> int:
         """Run the scenario and return the number of guarantees that did not hold."""
         services = (ServicePlan("orders", 7), ServicePlan("drawings", 3))
-        plan = FleetPlan(DEMO_NETWORK, services=services)
-        async with EmbeddedFleet(plan, self.directory, seed=self.seed) as fleet:
+        async with AsyncExitStack() as stack:
+            network_prefix = stack.enter_context(reserve_network())
+            plan = FleetPlan(network_prefix, services=services)
+            fleet = await stack.enter_async_context(
+                EmbeddedFleet(plan, self.directory, seed=self.seed)
+            )
             print("2 balancers, 10 agents and upstreams in 3 availability zones")
             callers = [
                 asyncio.create_task(self._send_orders(fleet, number))
--- a/plantainyoke/conftest.py
+++ b/plantainyoke/conftest.py
@@ -5,8 +5,7 @@
 """
 
 import asyncio
-import os
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import AsyncExitStack
 
 import looptime
@@ -14,26 +13,22 @@
 import uvloop
 from hypothesis import settings
 
+from plantainyoke.standins import reserve_network
+
 settings.register_profile(
     "deterministic", derandomize=True, deadline=None, database=None
 )
 settings.load_profile("deterministic")
 
-# Second octets of the 127.x networks: the first one, and how many there are.
-FIRST_NETWORK = 32
-NETWORK_COUNT = 200
-_test_numbers = iter(range(10**6))
-
 
 @pytest.fixture
-def network_prefix() -> str:
+def network_prefix() -> Iterator[str]:
     """Return the first two octets of loopback addresses for one test.
 
-    The process ID is part of the choice, so that test processes that run in parallel
-    are unlikely to use the same addresses.
+    No other test, demo or soak uses them meanwhile, in this process or another.
     """
-    number = (os.getpid() * 7 + next(_test_numbers)) % NETWORK_COUNT
-    return f"127.{FIRST_NETWORK + number}"
+    with reserve_network() as prefix:
+        yield prefix
 
 
 @pytest.fixture
--- a/plantainyoke/standins/__init__.py
+++ b/plantainyoke/standins/__init__.py
@@ -8,6 +8,7 @@
 from plantainyoke.standins._certificate import write_certificate
 from plantainyoke.standins._fabric import Fabric
 from plantainyoke.standins._fleet import EmbeddedFleet, FleetPlan, ServicePlan
+from plantainyoke.standins._loopback import NoFreeNetworkError, reserve_network
 from plantainyoke.standins._packet_fleet import (
     COLD_START_S,
     STORE_PORT,
@@ -28,6 +29,7 @@
     "COLD_START_S",
     "FakeTarget",
     "LoopbackHost",
+    "NoFreeNetworkError",
     "STORE_PORT",
     "EmbeddedFleet",
     "FakeCaller",
@@ -40,6 +42,7 @@
     "PacketFleetPlan",
     "UpstreamOptions",
     "FakeUpstream",
+    "reserve_network",
     "write_certificate",
     "write_packet",
 ]
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,11 +13,10 @@
 
 import uvloop
 
+from plantainyoke.standins import reserve_network
 from soak._cases import load_cases
 from soak._run import SoakOptions, run_seed
 
-FIRST_NETWORK = 240  # second octet of the first job's addresses; tests use lower ones
-
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the command-line parser."""
@@ -41,14 +40,15 @@
     """Run seeds in concurrent jobs and return the number of failed seeds."""
     remaining = list(reversed(seeds))
 
-    async def run_job(job: int) -> int:
+    async def run_job() -> int:
         failed = 0
         while remaining:
             seed = remaining.pop()
-            failed += await _run_one(options, seed, f"127.{FIRST_NETWORK + job}")
+            with reserve_network() as network_prefix:
+                failed += await _run_one(options, seed, network_prefix)
         return failed
 
-    return sum(await asyncio.gather(*(run_job(job) for job in range(options.jobs))))
+    return sum(await asyncio.gather(*(run_job() for _ in range(options.jobs))))
 
 
 async def _run_one(options: argparse.Namespace, seed: int, network_prefix: str) -> bool:
