Let first packets wait at busy agents instead of resetting their flows

Cause: after a power loss all callers open flows within half a second. Requests queued inside the targets were served in the order of arrival, so late ones made the next ones late. Further first packets wait at its agent (WaitingRoom): those that can be answered in time first, then by the route's priority and the time that their callers still wait. A flow that would be late there is passed on; if the best targets are all busy it waits as long as its caller does. A flow that cannot be answered before its caller gives up is reset at once, as before.

--- a/plantainyoke/catalogue/_types.py
+++ b/plantainyoke/catalogue/_types.py
@@ -26,6 +26,10 @@
     shares : tuple of RouteShare
     aim_s : float
         Time within which callers want an answer, 0 if none is stated.
+    timeout_s : float
+        Time after which callers give up a request, 0 if none is stated.
+    priority : int
+        Rank of the route's requests among those of other routes, 0 is the highest.
     """
 
     name: str
@@ -33,6 +37,8 @@
     port: int
     shares: tuple[RouteShare, ...]
     aim_s: float = 0.0
+    timeout_s: float = 0.0
+    priority: int = 0
 
     @property
     def endpoint(self) -> tuple[int, int]:
--- a/plantainyoke/flows/__init__.py
+++ b/plantainyoke/flows/__init__.py
@@ -10,6 +10,7 @@
 from plantainyoke.flows._messages import (
     MAX_ALTERNATES,
     MAX_HOPS,
+    MAY_WAIT_FLAG,
     MOSTLY_COLD_FLAG,
     FlowRefusal,
     Ingress,
@@ -25,6 +26,7 @@
     encode_load_body,
     encode_message,
     encode_open_body,
+    encode_open_detail,
 )
 from plantainyoke.flows._search import WIDEN_DELAY_S, Search, SearchTable
 from plantainyoke.flows._segment import (
@@ -39,6 +41,7 @@
 )
 
 __all__ = [
+    "MAY_WAIT_FLAG",
     "MOSTLY_COLD_FLAG",
     "FLOW_KEY_BYTES",
     "MAX_ALTERNATES",
@@ -67,6 +70,7 @@
     "decode_refusal",
     "format_flow",
     "encode_open_body",
+    "encode_open_detail",
     "encode_load_body",
     "encode_message",
     "FlowFormatError",
--- a/plantainyoke/packet_balancer/_steering.py
+++ b/plantainyoke/packet_balancer/_steering.py
@@ -14,8 +14,8 @@
 from plantainyoke.catalogue import Catalogue, Route, Target
 from plantainyoke.flows import (
     MAX_ALTERNATES,
-    MOSTLY_COLD_FLAG,
     FlowKey,
+    FlowRefusal,
     Ingress,
     Message,
     MessageKind,
@@ -25,6 +25,7 @@
     decode_refusal,
     encode_message,
     encode_open_body,
+    encode_open_detail,
     format_flow,
     get_service_endpoint,
 )
@@ -69,6 +70,8 @@
     mostly_cold : bool
         Whether at least half of the service's targets were in cold start at the last
         attempt.
+    may_wait : bool
+        Whether the flow may wait at an agent, because busy ones refused it.
     attempts : int
         Number of attempts so far to place the flow or to find its holder.
     timed_out : bool
@@ -87,6 +90,7 @@
     tried_hosts: list[int] = msgspec.field(default_factory=list)
     offered_hosts: list[int] = msgspec.field(default_factory=list)
     mostly_cold: bool = False
+    may_wait: bool = False
     attempts: int = 0
     timed_out: bool = False
     deadline: float = 0.0
@@ -161,6 +165,7 @@
             MessageKind.SEARCHING: self._receive_searching,
             MessageKind.LOAD_REPORT: self._receive_load_report,
             MessageKind.LEAVING: self._receive_leaving,
+            MessageKind.WAITING: self._receive_waiting,
         }
 
     def try_forward(self, flow: FlowKey, packet: bytes, now: float) -> bool:
@@ -370,7 +375,9 @@
             first,
             encode_open_body(alternates, segment.raw),
             service=entry.service,
-            detail=len(alternates) | (MOSTLY_COLD_FLAG if entry.mostly_cold else 0),
+            detail=encode_open_detail(
+                len(alternates), mostly_cold=entry.mostly_cold, may_wait=entry.may_wait
+            ),
         )
 
     def _find_holder(
@@ -462,7 +469,12 @@
         entry = self.flow_cache.get(segment.flow)
         if entry is None or entry.holder:
             return
-        entry.tried_hosts += entry.offered_hosts
+        if refusal == FlowRefusal.BUSY and not entry.may_wait:
+            # The best targets are busy, so the others are no better: the flow waits
+            # at one of the best.
+            entry.may_wait = True
+        else:
+            entry.tried_hosts += entry.offered_hosts
         self._place(segment, entry, now)
 
     def _receive_not_held(self, message: Message, source: int, now: float) -> None:
@@ -496,6 +508,18 @@
             self.unresolved.pop(flow, None)
             entry.pending_segment = None
 
+    def _receive_waiting(self, message: Message, source: int, now: float) -> None:
+        """Stop the timeout of a first packet that waits at an agent.
+
+        Retransmissions go to the same agent.
+        """
+        flow, load = decode_load_body(message.body)
+        self.agents.record_load(source, load, now)
+        entry = self.flow_cache.get(flow)
+        if entry is not None and not entry.holder:
+            self.unresolved.pop(flow, None)
+            entry.offered_hosts = [source]
+
     def _receive_load_report(self, message: Message, source: int, now: float) -> None:
         _, load = decode_load_body(message.body)
         self.agents.record_load(source, load, now)
@@ -516,6 +540,7 @@
         entry.deadline = 0.0
         entry.attempts = 0
         entry.tried_hosts, entry.offered_hosts = [], []
+        entry.may_wait = False
 
     def _reset(self, segment: Segment, reason: str) -> None:
         flow = segment.flow
--- a/plantainyoke/packet_node/_codec.py
+++ b/plantainyoke/packet_node/_codec.py
@@ -26,6 +26,10 @@
         number.
     clear_bounced_flag : callable
         Returns a bounced packet as its caller sent it.
+    estimate_first_packet_age_s : callable
+        Returns the time since the caller of a first packet sent its first copy.
+    open_timeout_s : float
+        Time after which a caller gives up opening a flow.
     error_type : type
         Type of the exceptions for datagrams that are not valid packets.
     """
@@ -35,4 +39,6 @@
     parse_target_packet: Callable[[bytes], Segment]
     encode_reset: Callable[[FlowKey, int], bytes]
     clear_bounced_flag: Callable[[bytes], bytes]
+    estimate_first_packet_age_s: Callable[[Segment], float]
+    open_timeout_s: float
     error_type: type[Exception]
--- a/plantainyoke/placement/__init__.py
+++ b/plantainyoke/placement/__init__.py
@@ -17,6 +17,7 @@
     select_by_rendezvous,
     select_idle_service,
 )
+from plantainyoke.placement._waiting import WaitingFlow, WaitingRoom
 from plantainyoke.placement._work_time import WorkTimeEstimator
 
 __all__ = [
@@ -25,6 +26,8 @@
     "FlowAdmission",
     "AgentState",
     "AgentTable",
+    "WaitingFlow",
+    "WaitingRoom",
     "WorkTimeEstimator",
     "rank_services",
     "select_by_rendezvous",
--- a/plantainyoke/placement/_work_time.py
+++ b/plantainyoke/placement/_work_time.py
@@ -6,6 +6,7 @@
 """
 
 SAMPLE_WEIGHT = 1 / 16  # weight of the latest answer in the running mean
+UNKNOWN_WORK_TIME_S = 0.05  # assumed before the first answer
 
 
 class WorkTimeEstimator:
@@ -55,6 +56,7 @@
         Returns
         -------
         float
-            Time in seconds, 0 before the first answer.
+            Time in seconds.
         """
-        return self.work_time_s * max(1.0, (in_flight + 1) / slots)
+        work_time_s = self.work_time_s or UNKNOWN_WORK_TIME_S
+        return work_time_s * max(1.0, (in_flight + 1) / slots)
--- a/plantainyoke/platform/_entries.py
+++ b/plantainyoke/platform/_entries.py
@@ -39,6 +39,8 @@
     service: str | None = None
     traffic_split: list[_Share] = []
     aim_ms: float = 0.0
+    timeout_ms: float = 0.0
+    priority: int = 0
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -150,4 +152,12 @@
         shares = (RouteShare(route.service, 1),) if route.service else ()
     port = int(route.prefix.strip("/"))
     host = parse_host(route.hostname)
-    return Route(route.name, host, port, shares, route.aim_ms / 1000)
+    return Route(
+        route.name,
+        host,
+        port,
+        shares,
+        route.aim_ms / 1000,
+        route.timeout_ms / 1000,
+        route.priority,
+    )
--- a/plantainyoke/platform/_packets.py
+++ b/plantainyoke/platform/_packets.py
@@ -26,6 +26,10 @@
 SEQUENCE_OFFSET = 14
 ADDRESSES_OFFSET = 24
 
+# Callers send two further copies of a first packet, then give up.
+FIRST_PACKET_COPY_TIMES_S = (0.0, 0.2, 0.6)
+OPEN_TIMEOUT_S = 1.4
+
 
 class MalformedPacketError(Exception):
     """The datagram is not a well-formed packet of a flow."""
@@ -95,6 +99,15 @@
     return bytes((datagram[0] & ~FLAG_BOUNCED,)) + datagram[1:]
 
 
+def estimate_first_packet_age_s(segment: Segment) -> float:
+    """Return the time since the caller sent the first copy of a first packet.
+
+    The acknowledgement field of a first packet counts its earlier copies.
+    """
+    copy = min(segment.acknowledged, len(FIRST_PACKET_COPY_TIMES_S) - 1)
+    return FIRST_PACKET_COPY_TIMES_S[copy]
+
+
 def _check_size(datagram: bytes) -> None:
     size = len(datagram)
     if not HEADER_BYTES <= size <= MAX_PACKET_BYTES:
@@ -130,5 +143,7 @@
     parse_target_packet=parse_target_packet,
     encode_reset=encode_reset,
     clear_bounced_flag=clear_bounced_flag,
+    estimate_first_packet_age_s=estimate_first_packet_age_s,
+    open_timeout_s=OPEN_TIMEOUT_S,
     error_type=MalformedPacketError,
 )
