Search holders by queries without packets, and repeat them

Agents that started later than a search were asked again only with the caller's next packet, up to 1.6 s later: 420 flows were reset in half a second 3 s after the agents were up. Change: a search asks by the flow's key and sends the packet only to agents that hold the flow or are not sure. An agent whose target is as young as itself is sure. The searching agent repeats unanswered queries (0.06 s, doubling to 0.5 s) and widens by itself. A candidate that left the catalogue and answers that it holds the flow, or whose answer may be on the way, now prevents a reset; before, the flow was reset as soon as all published candidates had denied. PlatformClient returns an error for a body above its limit instead of the truncated body.

--- a/plantainyoke/flows/_flow_table.py
+++ b/plantainyoke/flows/_flow_table.py
@@ -28,7 +28,7 @@
     ingress : Ingress
         The balancer that received the caller's latest packet.
     request_at : float
-        Time of the first data of the caller without an answer, 0 if there is none.
+        Time of the last data of a request without an answer, 0 if there is none.
     in_flight_at_request : int
         Flows with a request in flight at that time, this one included.
     homes : tuple of int
@@ -146,14 +146,31 @@
         return held
 
     def record_caller_packet(
-        self, held: HeldFlow, segment: Segment, *, ingress: Ingress, now: float
+        self,
+        held: HeldFlow,
+        segment: Segment,
+        *,
+        ingress: Ingress,
+        now: float,
+        more_follows: bool = False,
     ) -> None:
-        """Update a flow by a packet of its caller."""
+        """Update a flow by a packet of its caller.
+
+        Parameters
+        ----------
+        held : HeldFlow
+        segment : Segment
+        ingress : Ingress
+        now : float
+        more_follows : bool, default=False
+            Whether the rest of the request is still to come. The target works on it
+            only then; an upload over a slow link may take a second until there.
+        """
         held.last_seen_at = now
         held.ingress = ingress
         held.acknowledged = segment.acknowledged
         self.flows.move_to_end(segment.flow)
-        if not held.request_at and held.is_new_data(segment):
+        if held.is_new_data(segment) and not more_follows:
             held.request_at = now
             self.requests[segment.flow] = held
             held.in_flight_at_request = self.in_flight
--- a/plantainyoke/packet_agent/tests/test_finder.py
+++ b/plantainyoke/packet_agent/tests/test_finder.py
@@ -130,6 +130,88 @@
         assert caller.reset_at is not None
 
 
+def _publish_new_incarnations(simulation):
+    """Publish that all targets started just now and lost their flows."""
+    entries = simulation.published.targets.values()
+    simulation.publish(
+        targets=tuple(
+            msgspec.structs.replace(entry, born_ms=round(simulation.now * 1000))
+            for entry in entries
+        )
+    )
+    for target in simulation.targets.values():
+        target.lose_flows()
+
+
+class TestQueries:
+    """After a power loss every caller's next packet starts a search."""
+
+    def test_no_packet_is_sent_to_targets_that_are_as_young_as_their_agents(self):
+        simulation = PacketSimulation({"orders": 40})
+        callers = [simulation.open_flow() for _ in range(20)]
+        simulation.advance(0.5)
+        _publish_new_incarnations(simulation)
+        simulation.restart(*simulation.processes)
+        for caller in callers:
+            caller.send_request()
+        simulation.advance(0.2)
+        assert all(caller.reset_at for caller in callers)
+        sent = _count_probes(simulation)
+        # Only the searching agents give the packet to their own targets.
+        assert sent == 0
+
+    def test_agent_whose_target_is_older_gives_it_the_packet(self):
+        simulation = PacketSimulation({"orders": 40})
+        callers = [simulation.open_flow() for _ in range(20)]
+        simulation.advance(0.5)
+        simulation.restart(*simulation.processes)
+        for caller in callers:
+            caller.send_request()
+        simulation.advance(0.2)
+        assert all(caller.last_answered for caller in callers)
+
+    def test_agent_that_starts_later_is_asked_again(self):
+        # The caller's next packet would come 1.6 s after the last one.
+        simulation = PacketSimulation({"orders": 6})
+        callers = [simulation.open_flow() for _ in range(20)]
+        simulation.advance(0.5)
+        _publish_new_incarnations(simulation)
+        simulation.restart(*simulation.processes)
+        simulation.kill(10, 11)
+        for caller in callers:
+            caller.send_request()
+        simulation.advance(1.5)
+        assert not any(caller.reset_at for caller in callers)
+        simulation.restart(10, 11)
+        simulation.advance(0.6)
+        searching = [
+            caller
+            for caller in callers
+            if any(
+                caller.flow in simulation.get_agent(host).finder.searches.running
+                for host in range(12, 16)
+            )
+        ]
+        assert searching == []
+        assert sum(caller.reset_at is not None for caller in callers) >= 15
+
+    def test_departed_holder_that_answers_late_keeps_its_flow(self):
+        # The target left the catalogue but still serves; every other agent has denied
+        # before its answer arrives.
+        simulation, caller, agent = _open_flow()
+        holder = agent.host
+        simulation.publish(removed=(f"t{holder}",))
+        simulation.advance(0.1)
+        simulation.restart(*simulation.balancers)
+        for host in simulation.targets:
+            simulation.get_agent(host).finder.holder_table.holders.clear()
+        simulation.zone_by_host[holder] = "far"
+        caller.send_request()
+        simulation.advance(2.0)
+        assert caller.reset_at is None
+        assert caller.last_answered
+
+
 class TestSearches:
     def test_agent_without_a_catalogue_does_not_reset_flows_that_it_cannot_find(self):
         # An agent that knows no other agent cannot probe any, which must not count as a
--- a/plantainyoke/packet_node/_codec.py
+++ b/plantainyoke/packet_node/_codec.py
@@ -28,6 +28,8 @@
         Returns a bounced packet as its caller sent it.
     estimate_first_packet_age_s : callable
         Returns the time since the caller of a first packet sent its first copy.
+    max_payload_bytes : int
+        Payload of a packet that has no room for more of its sender's data.
     open_timeout_s : float
         Time after which a caller gives up opening a flow.
     error_type : type
@@ -40,5 +42,6 @@
     encode_reset: Callable[[FlowKey, int], bytes]
     clear_bounced_flag: Callable[[bytes], bytes]
     estimate_first_packet_age_s: Callable[[Segment], float]
+    max_payload_bytes: int
     open_timeout_s: float
     error_type: type[Exception]
--- a/plantainyoke/platform/_packets.py
+++ b/plantainyoke/platform/_packets.py
@@ -144,6 +144,7 @@
     encode_reset=encode_reset,
     clear_bounced_flag=clear_bounced_flag,
     estimate_first_packet_age_s=estimate_first_packet_age_s,
+    max_payload_bytes=MAX_PAYLOAD_BYTES,
     open_timeout_s=OPEN_TIMEOUT_S,
     error_type=MalformedPacketError,
 )
--- a/plantainyoke/platform/_store.py
+++ b/plantainyoke/platform/_store.py
@@ -74,7 +74,7 @@
 
 
 class StoreClient:
-    """Reads the store over one connection, one call at a time.
+    """Reads the store, one call at a time.
 
     Parameters
     ----------
--- a/plantainyoke/publication/__init__.py
+++ b/plantainyoke/publication/__init__.py
@@ -5,6 +5,7 @@
 
 from plantainyoke.publication._client import (
     DocumentNotFoundError,
+    DocumentTooLargeError,
     PlatformClient,
     PlatformError,
     PlatformUnavailableError,
@@ -17,6 +18,7 @@
     "PlatformClient",
     "PlatformError",
     "DocumentNotFoundError",
+    "DocumentTooLargeError",
     "PlatformUnavailableError",
     "parse_hosts",
 ]
--- a/plantainyoke/publication/_client.py
+++ b/plantainyoke/publication/_client.py
@@ -22,6 +22,10 @@
     """The platform does not answer or answers with an error."""
 
 
+class DocumentTooLargeError(PlatformError):
+    """A document exceeds `MAX_BODY_BYTES`."""
+
+
 class DocumentNotFoundError(PlatformError):
     """The platform lacks a document that its index names; it may be stale."""
 
@@ -89,6 +93,8 @@
                 body = await response.content.read(MAX_BODY_BYTES + 1)
                 while not response.content.at_eof() and len(body) <= MAX_BODY_BYTES:
                     body += await response.content.read(MAX_BODY_BYTES)
+                if len(body) > MAX_BODY_BYTES:
+                    return Failure(DocumentTooLargeError(path))
                 return Success(body)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Failure(PlatformUnavailableError(type(error).__name__))
