Pass a flow on twice before it waits

Cause: a simulation of 40 targets with one slot at 0.6 and 0.9 load had 1.7 and 1.8 % late requests: reports are up to 250 ms old, and flows waited at a busy agent while other targets were idle. Change: a busy agent passes a first packet to two alternates before it lets it wait. Failed try: comparing the best of 2, 3, 4 or 6 targets instead of 16: 1.8 to 4.7 % at 0.9.

--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -27,7 +27,6 @@
     decode_load_body,
     encode_load_body,
     format_flow,
-    get_service_endpoint,
 )
 from plantainyoke.packet_agent._finder import HolderFinder
 from plantainyoke.packet_agent._opening import FlowOpener
@@ -519,7 +518,3 @@
         self.admission.work_time.record_answer(
             elapsed, in_flight=held.in_flight_at_request, slots=slots
         )
-
-    def _get_aim_s(self, flow: FlowKey) -> float:
-        route = self.catalogue.routes.get(get_service_endpoint(flow))
-        return route.aim_s if route else 0.0
--- a/plantainyoke/packet_agent/_opening.py
+++ b/plantainyoke/packet_agent/_opening.py
@@ -31,6 +31,8 @@
 # Part of a route's `aim_s` that a flow may be expected to take if it is to wait; the
 # rest is for the way and for errors of the estimate.
 AIM_SHARE = 0.8
+# Agents that pass a flow on, because another one may be idle, before it waits.
+MAX_IDLE_SEARCH_HOPS = 2
 NO_ROUTE = Route("", 0, 0, ())
 
 
@@ -212,6 +214,8 @@
     def _try_wait(self, segment: Segment, half_open: HalfOpenFlow, now: float) -> bool:
         """Let a flow wait for the target if that serves its caller.
 
+        Load pattern: at high load with reports that are some time old, one target is
+        busy while others are idle. A flow is therefore passed on before it waits.
         A flow waits if it will be answered in time. It also waits if it will be
         answered late, but before its caller gives up, and other agents are busy too.
 
@@ -222,6 +226,8 @@
         """
         if self.waiting_room.is_full:
             return False
+        if half_open.alternates and half_open.hops < MAX_IDLE_SEARCH_HOPS:
+            return False
         waiting = self._create_waiting_flow(segment, half_open, now)
         in_flight = self.count_in_flight(now)
         ahead = self.waiting_room.count_ahead(waiting, now)
--- a/plantainyoke/packet_agent/tests/test_opening.py
+++ b/plantainyoke/packet_agent/tests/test_opening.py
@@ -83,7 +83,15 @@
         )
 
     def open_flow(
-        self, port, *, now=NOW, copy=0, alternates=(), may_wait=False, urgent=False
+        self,
+        port,
+        *,
+        now=NOW,
+        copy=0,
+        alternates=(),
+        hops=0,
+        may_wait=False,
+        urgent=False,
     ) -> bytes:
         """Receive the first packet of a flow, and return the flow's key."""
         service = SERVICE_ADDRESS[0] + urgent
@@ -97,7 +105,7 @@
         detail = encode_open_detail(len(alternates), may_wait=may_wait)
         ingress = Ingress(BALANCER, 1)
         service_id = compute_service_id("orders")
-        message = Message(MessageKind.OPEN, 0, detail, ingress, service_id, 1, body)
+        message = Message(MessageKind.OPEN, hops, detail, ingress, service_id, 1, body)
         self.opener.receive_open(message, now)
         return flow
 
@@ -113,10 +121,20 @@
         assert len(agent.to_target) == 2
         assert agent.list_kinds() == [MessageKind.WAITING] * 2
 
+    def test_flow_is_passed_on_twice_in_search_of_an_idle_target(self):
+        # Reports are up to 250 ms old, so another target may be idle meanwhile.
+        agent = OneAgent()
+        for port in range(2):
+            agent.open_flow(port)
+        for hops in range(4):
+            agent.open_flow(10 + hops, alternates=[ALTERNATE], hops=hops)
+        kinds = agent.list_kinds()
+        assert kinds == [MessageKind.OPEN] * 2 + [MessageKind.WAITING] * 2
+
     def test_flow_waits_only_if_it_will_be_answered_in_time(self):
         agent = OneAgent()
         for port in range(20):
-            agent.open_flow(port, alternates=[ALTERNATE])
+            agent.open_flow(port, alternates=[ALTERNATE], hops=2)
         answered_after_s = (len(agent.opener.waiting_room) + 2) * WORK_TIME_S
         assert 0.8 * AIM_S - WORK_TIME_S < answered_after_s <= 0.8 * AIM_S
         passed_on = [host for host, message in agent.messages if host == ALTERNATE]
@@ -177,7 +195,7 @@
     def test_waiting_flows_are_passed_on_when_the_agent_stops(self):
         agent = OneAgent()
         self._fill(agent)
-        agent.open_flow(3, alternates=[ALTERNATE])
+        agent.open_flow(3, alternates=[ALTERNATE], hops=2)
         agent.open_flow(4)
         agent.admission.is_leaving = True
         agent.opener.admit_waiting(NOW + 0.01)
@@ -189,7 +207,7 @@
     def test_waiting_flow_is_refused_if_the_target_drains(self):
         agent = OneAgent()
         self._fill(agent)
-        agent.open_flow(3, alternates=[ALTERNATE])
+        agent.open_flow(3, alternates=[ALTERNATE], hops=2)
         draining = Target("t10", "orders", HOST, 9000, "a", 1, draining=True)
         agent.opener.catalogue.apply(CatalogueChange(1, 2, targets=(draining,)), NOW)
         agent.opener.admit_waiting(NOW + 0.01)
