--- a/plantainyoke/tests/test_golden.py
+++ b/plantainyoke/tests/test_golden.py
@@ -4,6 +4,7 @@
 import logging
 
 from plantainyoke.caller import CallerError
+from plantainyoke.conftest import wait_until
 from plantainyoke.standins import EmbeddedFleet, FleetPlan, ServicePlan, UpstreamOptions
 from plantainyoke.telemetry import get_logger
 
@@ -157,10 +158,14 @@
                         await session.get_connection()
                         upstream = fleet.upstreams["orders-0"]
                         upstream.refuse_share = 1.0
-                        asyncio.get_running_loop().call_later(
-                            0.02, setattr, upstream, "refuse_share", 0.0
-                        )
-                        await transcript.request(session, "POST", "/specs", key="s")
+
+                        async def accept_after_a_refusal(upstream=upstream):
+                            await wait_until(lambda: upstream.shed)
+                            upstream.refuse_share = 0.0
+
+                        async with asyncio.TaskGroup() as tasks:
+                            tasks.create_task(accept_after_a_refusal())
+                            await transcript.request(session, "POST", "/specs", key="s")
                         retried = session.metrics.counters["retry.refused.shed"]
                         transcript.add_line("retried", retried > 0)
                     transcript.add_explanation(fleet, "s")
