--- a/plantainyoke/catalogue/tests/test_links.py
+++ b/plantainyoke/catalogue/tests/test_links.py
@@ -4,14 +4,13 @@
 
 from plantainyoke.catalogue import Catalogue, CatalogueChange, Target, _subscription
 from plantainyoke.catalogue._subscription import (
-    HEARTBEAT_INTERVAL_S,
     MAX_RECENT_CHANGES,
     CatalogueServer,
     LinkError,
     open_subscription,
     read_frame,
 )
-from plantainyoke.conftest import make_scenario_runner
+from plantainyoke.conftest import make_scenario_runner, wait_until
 from plantainyoke.telemetry import Metrics
 
 PORT = 9_500
@@ -111,7 +110,7 @@
             with pytest.raises(LinkError):
                 await read_frame(reader)
             links[0][1].transport.abort()
-            await asyncio.sleep(2 * HEARTBEAT_INTERVAL_S)
+            await wait_until(lambda: len(source.server.subscribers) < 2)
             assert (await source.receive_first_changes(0))[0] is not None
 
         run_scenario(scenario)
