--- a/plantainyoke/tests/test_golden.py
+++ b/plantainyoke/tests/test_golden.py
@@ -159,14 +159,16 @@
                         upstream = fleet.upstreams["orders-0"]
                         upstream.refuse_share = 1.0
 
-                        async def accept_after_a_refusal(upstream=upstream):
-                            await wait_until(lambda: upstream.shed)
+                        counters = session.metrics.counters
+
+                        async def accept_after_a_retry(upstream, counters):
+                            await wait_until(lambda: counters["retry.refused.shed"])
                             upstream.refuse_share = 0.0
 
                         async with asyncio.TaskGroup() as tasks:
-                            tasks.create_task(accept_after_a_refusal())
+                            tasks.create_task(accept_after_a_retry(upstream, counters))
                             await transcript.request(session, "POST", "/specs", key="s")
-                        retried = session.metrics.counters["retry.refused.shed"]
+                        retried = counters["retry.refused.shed"]
                         transcript.add_line("retried", retried > 0)
                     transcript.add_explanation(fleet, "s")
                     transcript.add_runs(fleet)
