--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -40,7 +40,8 @@
 RESETS_PER_TICK = 200  # flows of an earlier incarnation that are reset in one tick
 CLOCK_SKEW_MARGIN_S = 0.5  # between the clock of the target's entry and this one
 # After a power loss a target starts sooner than the agent beside it, by the time that
-# the agent's imports take. An earlier agent cannot have served it in that time.
+# the agent's imports take. A target that restarted under a live agent which was killed
+# at once, or whose host's clock stepped back, can look as young (KNOWN-RED.txt, 3).
 START_MARGIN_S = 0.45
 
 
