--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -243,6 +243,14 @@
     def _apply_update(self, update: StoreUpdate) -> None:
         now = self.loop.time()
         self.change_builder.adopt_snapshot(self.catalogue.snapshot())
+        if update.revision < self.change_builder.revision:
+            log_event(
+                "store_answer_ignored",
+                revision=update.revision,
+                known_revision=self.change_builder.revision,
+                is_snapshot=update.is_snapshot,
+                version=update.configuration and update.configuration.version,
+            )
         change = self.change_builder.build_change(update, now)
         self.confirmed_at = now
         if change is not None:
@@ -252,6 +260,15 @@
     def _apply(self, change: CatalogueChange, *, source: str) -> bool:
         """Apply a change; return whether the catalogue is now at least as new."""
         if not self.catalogue.apply(change, self.loop.time()):
+            log_event(
+                "change_ignored",
+                source=source,
+                since=change.since,
+                revision=change.revision,
+                version=change.configuration and change.configuration.version,
+                known_revision=self.catalogue.revision,
+                known_version=self.catalogue.configuration.version,
+            )
             return change.revision <= self.catalogue.revision
         log_event(
             "catalogue_changed",
--- a/plantainyoke/platform/_store.py
+++ b/plantainyoke/platform/_store.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from plantainyoke.network import Address, HttpClient, HttpError, Response
+from plantainyoke.telemetry import log_event
 
 READ_TIMEOUT_S = 1.5  # the store answers in milliseconds, in slow phases in 0.3 s
+EPOCH_HEADER = "store-era"
 WATCH_MARGIN_S = 0.7  # for the answer to arrive after the wait of a watch has ended
 
 
@@ -84,11 +86,14 @@
     ----------
     calls : int
         Number of calls so far, failed ones included.
+    epoch : str
+        Epoch that the last answer stated; rises when the store is restored from a copy.
     """
 
     def __init__(self, address: Address) -> None:
         self.http = HttpClient(address)
         self.calls = 0
+        self.epoch = ""
 
     def close(self) -> None:
         """Close the connection to the store."""
@@ -152,6 +157,10 @@
             response = await self.http.get(path, timeout_s=timeout_s)
         except HttpError as error:
             raise StoreUnavailableError(str(error)) from error
+        epoch = response.headers.get(EPOCH_HEADER, "")
+        if epoch != self.epoch:
+            log_event("store_epoch", epoch=epoch, before=self.epoch or None)
+            self.epoch = epoch
         _check_status(response)
         try:
             return decoder.decode(response.body)
