--- a/plantainyoke/standins/__init__.py
+++ b/plantainyoke/standins/__init__.py
@@ -12,9 +12,11 @@
 from plantainyoke.standins._packet_fleet import (
     COLD_START_S,
     STORE_PORT,
+    FakeStore,
     LoopbackHost,
     PacketFleet,
     PacketFleetPlan,
+    StoreCopy,
 )
 from plantainyoke.standins._packet_simulation import (
     FakeCaller,
@@ -31,6 +33,8 @@
     "LoopbackHost",
     "NoFreeNetworkError",
     "STORE_PORT",
+    "FakeStore",
+    "StoreCopy",
     "EmbeddedFleet",
     "FakeCaller",
     "Fabric",
--- a/plantainyoke/standins/_packet_fleet.py
+++ b/plantainyoke/standins/_packet_fleet.py
@@ -36,6 +36,21 @@
 READINESS_PROBE_S = 0.25  # timeout of a probe, and pause between two rounds
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Copy of a `FakeStore` at one revision.
+
+    Attributes
+    ----------
+    revision : int
+    items : dict of str to dict
+        Item of each key.
+    """
+
+    revision: int
+    items: dict[str, dict]
+
+
 class FakeStore:
     """Fake of the platform's store: keys with revisions, listed or watched over HTTP.
 
@@ -53,6 +68,8 @@
     mode : str
         ``"up"``, ``"busy"`` (calls fail with status 503) or ``"silent"`` (calls are not
         answered).
+    epoch : int
+        Stated in every answer; rises when the store is restored from a copy.
     """
 
     def __init__(self, ip: str) -> None:
@@ -64,10 +81,12 @@
         self.changed = asyncio.Event()
         self.calls = 0
         self.mode = "up"
+        self.epoch = 1
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Serve until the stack closes."""
         application = web.Application()
+        application.on_response_prepare.append(self._state_epoch)
         application.router.add_get("/api/kv-range", self._range)
         application.router.add_get("/api/kv-watch", self._watch)
         runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.2)
@@ -98,8 +117,35 @@
         self.oldest_revision = self.revision
         self.changes.clear()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored later."""
+        return StoreCopy(self.revision, dict(self.items))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; everything written since is lost.
+
+        Revisions continue from the copy's, so they are given out again. A watch that
+        is waiting gets status 410 if the copy lacks its revision.
+        """
+        self.epoch += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.oldest_revision = min(self.oldest_revision, copy.revision)
+        self.changes = [
+            event for event in self.changes if event["revision"] <= copy.revision
+        ]
+        self._notify()
+
+    async def _state_epoch(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["Store-Era"] = str(self.epoch)
+
     def _record(self, event: dict) -> None:
         self.changes.append(event)
+        self._notify()
+
+    def _notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -124,14 +170,14 @@
         if failure is not None:
             return failure
         after = int(request.query["after"])
-        if after < self.oldest_revision:
-            return web.Response(status=410)
         if after == self.revision:
             try:
                 async with asyncio.timeout(int(request.query["waitMs"]) / 1000):
                     await self.changed.wait()
             except TimeoutError:
                 pass
+        if not self.oldest_revision <= after <= self.revision:
+            return web.Response(status=410)
         events = [event for event in self.changes if event["revision"] > after]
         return web.json_response({"events": events, "currentRev": self.revision})
 
--- a/plantainyoke/tests/test_packet_processes.py
+++ b/plantainyoke/tests/test_packet_processes.py
@@ -91,6 +91,28 @@
         fleet(scenario)
 
 
+class TestRestoredStore:
+    """The store returns from an older copy and gives revisions out again."""
+
+    def test_change_that_reuses_a_revision_is_in_force(self, fleet):
+        async def scenario(fleet):
+            copy = fleet.store.take_copy()
+            for shares in ({"orders": 2}, {"orders": 3}):
+                fleet.publish_shares(**shares)
+                await asyncio.sleep(0.3)
+            fleet.store.restore(copy)
+            fleet.publish_shares(orders=3)
+            await asyncio.sleep(0.5)
+            fleet.publish_shares(drawings=1)
+            await asyncio.sleep(1.0)
+            callers = await _open_flows(fleet, 20)
+            await wait_until(lambda: all(fleet.find_holder(one) for one in callers))
+            holders = {fleet.hosts[fleet.find_holder(one)].service for one in callers}
+            assert holders == {"drawings"}
+
+        fleet(scenario, services={"orders": 2, "drawings": 2})
+
+
 class TestPrograms:
     def test_reload_keeps_the_process_and_its_flows(self, fleet):
         async def scenario(fleet):
