Order the store's history by epoch and revision

Cause: a revision alone was the identity of a state. After a restoration revisions are given out again. (1) The catalogue, the change builder and the links ignored what came at a number that they had reached. (2) A reader's watch went on from a number of the lost history, and missed what was written at the reused ones without an error. Fix: a position is the store's epoch (its header) and a revision, in this order, in the catalogue, its changes and the links. The first change of an epoch is complete, so no change builds on a revision of another epoch. A reader that sees another epoch reads everything again. An answer of an earlier epoch confirms nothing.

--- a/benchmarks/bench_catalogue.py
+++ b/benchmarks/bench_catalogue.py
@@ -98,7 +98,7 @@
 
     def change_target(number: int) -> None:
         target = msgspec.structs.replace(targets_by_name[names[number]], draining=True)
-        revision = change_builder.revision + 1
+        revision = change_builder.position.revision + 1
         update = StoreUpdate(revision, False, None, {target.name: target})
         changes.append(change_builder.build_change(update, 1.0))
 
@@ -125,7 +125,7 @@
 
     def change_routes(number: int) -> None:
         update = StoreUpdate(
-            change_builder.revision + 1, False, new_configurations[number]
+            change_builder.position.revision + 1, False, new_configurations[number]
         )
         changes.append(change_builder.build_change(update, 2.0))
 
--- a/plantainyoke/catalogue/_catalogue.py
+++ b/plantainyoke/catalogue/_catalogue.py
@@ -10,6 +10,7 @@
 
 from plantainyoke.catalogue._types import (
     CatalogueChange,
+    Position,
     Route,
     RouteConfiguration,
     ServiceLimits,
@@ -23,12 +24,12 @@
 class Catalogue:
     """Routes, targets and zones at one revision.
 
-    Revisions and configuration versions only rise; an older change is ignored.
+    Positions and configuration versions only rise; an older change is ignored.
 
     Attributes
     ----------
-    revision : int
-        Revision of the last change applied, 0 before the first.
+    epoch, revision : int
+        Those of the last change applied, 0 before the first.
     configuration : RouteConfiguration
         Last configuration applied, without its routes and services.
     services : dict of str to ServiceLimits
@@ -54,6 +55,7 @@
     """
 
     def __init__(self) -> None:
+        self.epoch = 0
         self.revision = 0
         self.configuration = RouteConfiguration()
         self.routes: dict[tuple[int, int], Route] = {}
@@ -67,20 +69,28 @@
         self.departure_times: dict[int, float] = {}
         self.listeners: list[Callable[[CatalogueChange], None]] = []
 
+    @property
+    def position(self) -> Position:
+        """Position in the store's history of the last change applied."""
+        return Position(self.epoch, self.revision)
+
     def apply(self, change: CatalogueChange, now: float) -> bool:
         """Apply a change and return whether it was applied.
 
         A change is ignored if it isn't newer, and refused as a whole if it builds on a
         revision that isn't reached here, or on another configuration version.
         """
-        if change.revision <= self.revision or change.since > self.revision:
+        if change.position <= self.position:
+            return False
+        builds_on_this = change.epoch == self.epoch and change.since <= self.revision
+        if change.since and not builds_on_this:
             return False
         received = change.configuration
         if received is not None and received.version > self.configuration.version:
             if change.version_since not in (0, self.configuration.version):
                 return False
             self._apply_configuration(received, change)
-        self.revision = change.revision
+        self.epoch, self.revision = change.position
         self._apply_targets(change, now)
         if change.zones_out is not None:
             self.zones_out = frozenset(change.zones_out)
@@ -100,6 +110,7 @@
             ),
             targets=tuple(self.targets.values()),
             zones_out=tuple(sorted(self.zones_out)),
+            epoch=self.epoch,
         )
 
     def list_eligible_targets(self, service: str) -> list[Target]:
--- a/plantainyoke/catalogue/_change_builder.py
+++ b/plantainyoke/catalogue/_change_builder.py
@@ -9,6 +9,7 @@
 
 from plantainyoke.catalogue._types import (
     CatalogueChange,
+    Position,
     Route,
     RouteConfiguration,
     ServiceLimits,
@@ -36,6 +37,8 @@
         Names of targets whose entries are missing or unusable.
     zones_out, zones_restored : set of str
         Zones taken out, and zones taken back in.
+    epoch : int
+        Epoch of the store. The first answer of an epoch is a snapshot.
     """
 
     revision: int
@@ -45,6 +48,12 @@
     removed: set[str] = msgspec.field(default_factory=set)
     zones_out: set[str] = msgspec.field(default_factory=set)
     zones_restored: set[str] = msgspec.field(default_factory=set)
+    epoch: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position in the store's history."""
+        return Position(self.epoch, self.revision)
 
 
 class ChangeBuilder:
@@ -52,8 +61,8 @@
 
     Attributes
     ----------
-    revision : int
-        Revision of the store's last answer.
+    position : Position
+        Position of the store's last answer.
     lapsed_deadlines : dict of str to float
         Names of targets whose entries are missing, and the time until which they are
         kept.
@@ -62,11 +71,11 @@
     store_returned_at : float
         Time of the first answer after the last outage of the store.
     last_change_revision : int
-        Revision of the last change.
+        Revision of the last change, 0 if there is none in this epoch.
     """
 
     def __init__(self) -> None:
-        self.revision = 0
+        self.position = Position(0, 0)
         self.last_change_revision = 0
         self.configuration = RouteConfiguration()
         self.routes: dict[tuple[int, int], Route] = {}
@@ -83,9 +92,10 @@
         The catalogue may have changed through other processes. Targets missing from
         the store's next answer are then recognized as lapsed.
         """
-        if snapshot.revision <= self.revision:
+        if snapshot.position <= self.position:
             return
-        self.revision = self.last_change_revision = snapshot.revision
+        self.position = snapshot.position
+        self.last_change_revision = snapshot.revision
         self.targets = {target.name: target for target in snapshot.targets}
         self.zones_out = set(snapshot.zones_out or ())
         received = snapshot.configuration
@@ -106,18 +116,23 @@
         CatalogueChange or None
             None if the catalogue doesn't change.
         """
-        if now - self.last_answer_at > OUTAGE_S:
+        is_new_epoch = update.epoch > self.position.epoch
+        if now - self.last_answer_at > OUTAGE_S or is_new_epoch:
             self.store_returned_at = now
         self.last_answer_at = now
-        if update.revision < self.revision:
+        if update.position < self.position:
             return None
+        if is_new_epoch:
+            self.last_change_revision = 0
         since = self.last_change_revision
-        self.revision = update.revision
+        self.position = update.position
         configuration, version_since, removed_routes = self._update_routes(update)
         zones_changed = self._update_zones(update)
         targets, removed = self._update_targets(update, now)
         if not (targets or removed or zones_changed or configuration or not since):
             return None
+        if not since:
+            targets, removed = tuple(self.targets.values()), ()
         zones = tuple(sorted(self.zones_out)) if zones_changed or not since else None
         self.last_change_revision = update.revision
         return CatalogueChange(
@@ -129,6 +144,7 @@
             targets=targets,
             removed=removed,
             zones_out=zones,
+            epoch=update.epoch,
         )
 
     def _update_routes(
--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -21,7 +21,7 @@
     open_subscription,
     read_frame,
 )
-from plantainyoke.catalogue._types import CatalogueChange
+from plantainyoke.catalogue._types import CatalogueChange, Position
 from plantainyoke.hashing import rank_by_rendezvous
 from plantainyoke.network import Address, format_host
 from plantainyoke.telemetry import Metrics, log_event
@@ -118,7 +118,7 @@
         self.first_read_done = asyncio.Event()
         self.confirmed_at = float("-inf")
         self.cached_ranking: list[int] = []
-        self.cached_ranking_revision = -1
+        self.cached_ranking_position = Position(0, -1)
         self.source = 0
         self.loop = asyncio.get_running_loop()
         self.source_lost_at = self.loop.time()
@@ -160,7 +160,7 @@
         the other to read.
         """
         catalogue = self.catalogue
-        if self.cached_ranking_revision == catalogue.revision:
+        if self.cached_ranking_position == catalogue.position:
             return self.cached_ranking
         ring = catalogue.rings_by_zone.get(self.zone)
         hosts = ring.hosts if ring else list(catalogue.target_by_host) or self.seeds
@@ -169,7 +169,7 @@
         self.cached_ranking = [
             int.from_bytes(member, "big") for member in rank_by_rendezvous(key, members)
         ]
-        self.cached_ranking_revision = catalogue.revision
+        self.cached_ranking_position = catalogue.position
         return self.cached_ranking
 
     def get_rank(self) -> int:
@@ -242,15 +242,16 @@
 
     def _apply_update(self, update: StoreUpdate) -> None:
         now = self.loop.time()
-        self.change_builder.adopt_snapshot(self.catalogue.snapshot())
-        if update.revision < self.change_builder.revision:
+        if update.epoch < self.catalogue.epoch:
+            # The store answered before it was restored: nothing is confirmed.
             log_event(
                 "store_answer_ignored",
+                epoch=update.epoch,
                 revision=update.revision,
-                known_revision=self.change_builder.revision,
-                is_snapshot=update.is_snapshot,
-                version=update.configuration and update.configuration.version,
+                known_epoch=self.catalogue.epoch,
             )
+            return
+        self.change_builder.adopt_snapshot(self.catalogue.snapshot())
         change = self.change_builder.build_change(update, now)
         self.confirmed_at = now
         if change is not None:
@@ -263,16 +264,19 @@
             log_event(
                 "change_ignored",
                 source=source,
+                epoch=change.epoch,
                 since=change.since,
                 revision=change.revision,
                 version=change.configuration and change.configuration.version,
+                known_epoch=self.catalogue.epoch,
                 known_revision=self.catalogue.revision,
                 known_version=self.catalogue.configuration.version,
             )
-            return change.revision <= self.catalogue.revision
+            return change.position <= self.catalogue.position
         log_event(
             "catalogue_changed",
             source=source,
+            epoch=change.epoch,
             revision=change.revision,
             version=self.catalogue.configuration.version,
             targets=len(self.catalogue.targets),
@@ -327,7 +331,7 @@
         """Apply changes from a source until it fails or another is to be used."""
         try:
             reader, writer = await open_subscription(
-                self.get_address(host), self.catalogue.revision
+                self.get_address(host), self.catalogue.position
             )
         except LinkError as error:
             self.metrics.counters["source.unreachable"] += 1
--- a/plantainyoke/catalogue/_subscription.py
+++ b/plantainyoke/catalogue/_subscription.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from plantainyoke.catalogue._catalogue import Catalogue
-from plantainyoke.catalogue._types import CatalogueChange
+from plantainyoke.catalogue._types import CatalogueChange, Position
 from plantainyoke.network import Address, serve_connections
 from plantainyoke.telemetry import Metrics, log_event
 
@@ -36,12 +36,18 @@
 
     Attributes
     ----------
-    revision : int
-        Revision that the subscriber has; it needs only changes after this one.
+    epoch, revision : int
+        Position that the subscriber has reached; it needs only changes after this one.
     """
 
+    epoch: int
     revision: int
 
+    @property
+    def position(self) -> Position:
+        """Position that the subscriber has reached."""
+        return Position(self.epoch, self.revision)
+
 
 class CatalogueFrame(msgspec.Struct, frozen=True):
     """One frame of a source.
@@ -91,15 +97,15 @@
 
 
 async def open_subscription(
-    address: Address, revision: int
+    address: Address, position: Position
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Connect to a source and subscribe.
 
     Parameters
     ----------
     address : Address
-    revision : int
-        Revision of this process's catalogue.
+    position : Position
+        Position of this process's catalogue.
 
     Raises
     ------
@@ -111,7 +117,7 @@
             reader, writer = await asyncio.open_connection(*address)
     except (OSError, TimeoutError) as error:
         raise LinkError(type(error).__name__) from error
-    writer.write(encode_catalogue_frame(Subscribe(revision)))
+    writer.write(encode_catalogue_frame(Subscribe(*position)))
     return reader, writer
 
 
@@ -127,10 +133,10 @@
 
     Attributes
     ----------
-    subscribers : dict of StreamWriter to int
-        Revision of each subscriber; -1 while this catalogue is empty or behind it.
+    subscribers : dict of StreamWriter to Position
+        Position of each subscriber.
     recent_changes : deque of CatalogueChange
-        Last changes, the newest last.
+        Last changes since the last snapshot, the newest last.
     """
 
     def __init__(
@@ -142,7 +148,7 @@
         self.metrics = metrics
         self.catalogue = catalogue
         self.age_s = age_s
-        self.subscribers: dict[asyncio.StreamWriter, int] = {}
+        self.subscribers: dict[asyncio.StreamWriter, Position] = {}
         self.recent_changes: deque[CatalogueChange] = deque(maxlen=MAX_RECENT_CHANGES)
 
     async def listen(self, address: Address, stack: AsyncExitStack) -> None:
@@ -152,12 +158,13 @@
 
     def publish(self, change: CatalogueChange) -> None:
         """Send a change to every subscriber that isn't ahead of this catalogue."""
-        self.recent_changes.append(change)
-        for writer, revision in list(self.subscribers.items()):
-            if revision < 0:
-                continue
+        if not change.since:
+            self.recent_changes.clear()
+        else:
+            self.recent_changes.append(change)
+        for writer in list(self.subscribers):
             with suppress(LinkError):  # its task sees the closed link and ends
-                self._send_missing_changes(writer, revision)
+                self._send_missing_changes(writer)
 
     def broadcast_age(self) -> None:
         """Send the age of the view to every subscriber at once."""
@@ -175,11 +182,11 @@
                 # When all processes start at once, they know the same seeds. A process
                 # that is refused tries its next source.
                 raise LinkError("limit of subscribers reached")
-            self.subscribers[writer] = -1
-            self._send_missing_changes(writer, request.revision)
+            self.subscribers[writer] = request.position
             while not writer.is_closing():
+                if not self._send_missing_changes(writer):
+                    self._write(writer, CatalogueFrame(self._get_age_ms()))
                 await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-                self._send_heartbeat(writer, request.revision)
         except (
             OSError,
             TimeoutError,
@@ -192,47 +199,36 @@
             self.subscribers.pop(writer, None)
             writer.close()
 
-    def _send_missing_changes(
-        self, writer: asyncio.StreamWriter, known_revision: int
-    ) -> None:
-        """Send the changes that a subscriber lacks, none if it is ahead.
+    def _send_missing_changes(self, writer: asyncio.StreamWriter) -> bool:
+        """Send the changes that a subscriber lacks; return whether there were any.
 
         Load pattern: each target that joins or leaves changes the ranking, and many
         processes change their source though they lack a change or two at most. They
         receive these changes rather than a snapshot.
         """
-        changes = self._list_changes_after(known_revision)
-        if changes is None:
-            self._write(writer, CatalogueFrame(self._get_age_ms()))
-            return
+        changes = self._list_changes_after(self.subscribers[writer])
         for change in changes:
             self._write(writer, CatalogueFrame(self._get_age_ms(), change))
-        if not changes:
-            self._write(writer, CatalogueFrame(self._get_age_ms()))
-        self.subscribers[writer] = changes[-1].revision if changes else known_revision
-
-    def _list_changes_after(self, known_revision: int) -> list[CatalogueChange] | None:
-        """Return the changes after a revision; None if it isn't reached here."""
-        revision = self.catalogue.revision
-        if not revision or revision < known_revision:
-            return None
-        if revision == known_revision:
+            self.subscribers[writer] = change.position
+        return bool(changes)
+
+    def _list_changes_after(self, known: Position) -> list[CatalogueChange]:
+        """Return the changes after a position, none if it isn't reached here.
+
+        After a restoration of the store, the numbers of revisions say nothing about a
+        subscriber of an earlier epoch. It receives a snapshot.
+        """
+        if self.catalogue.position <= known:
             return []
-        missing = [
-            change for change in self.recent_changes if change.revision > known_revision
-        ]
-        if known_revision and missing and missing[0].since <= known_revision:
+        missing = [change for change in self.recent_changes if change.position > known]
+        if (
+            missing
+            and known.epoch == missing[0].epoch
+            and (0 < missing[0].since <= known.revision)
+        ):
             return missing
         return [self.catalogue.snapshot()]
 
-    def _send_heartbeat(
-        self, writer: asyncio.StreamWriter, initial_revision: int
-    ) -> None:
-        if self.subscribers.get(writer, -1) < 0:
-            self._send_missing_changes(writer, initial_revision)
-        else:
-            self._write(writer, CatalogueFrame(self._get_age_ms()))
-
     def _write(self, writer: asyncio.StreamWriter, frame: CatalogueFrame) -> None:
         if writer.is_closing():
             raise LinkError("link is closed")
--- a/plantainyoke/catalogue/_types.py
+++ b/plantainyoke/catalogue/_types.py
@@ -4,9 +4,26 @@
 Processes send these types to each other with their field names.
 """
 
+from typing import NamedTuple
+
 import msgspec
 
 
+class Position(NamedTuple):
+    """Point in the history of the store; a higher one has newer contents.
+
+    Attributes
+    ----------
+    epoch : int
+        Rises when the store is restored from an older copy, 0 if the store states none.
+    revision : int
+        Rises with each write. After a restoration, revisions are given out again.
+    """
+
+    epoch: int
+    revision: int
+
+
 class RouteShare(msgspec.Struct, frozen=True):
     """A service's part of a route's new flows."""
 
@@ -117,7 +134,7 @@
 
 
 class CatalogueChange(msgspec.Struct, frozen=True):
-    """Difference between two revisions of the catalogue.
+    """Difference between two revisions of the catalogue, both of one epoch.
 
     Attributes
     ----------
@@ -137,6 +154,8 @@
         Names of targets that are gone.
     zones_out : tuple of str, optional
         All zones that receive no new flows; None if unchanged.
+    epoch : int
+        Epoch of the store to which both revisions belong.
     """
 
     since: int
@@ -147,3 +166,9 @@
     targets: tuple[Target, ...] = ()
     removed: tuple[str, ...] = ()
     zones_out: tuple[str, ...] | None = None
+    epoch: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position in the store's history that the change leads to."""
+        return Position(self.epoch, self.revision)
--- a/plantainyoke/catalogue/tests/test_catalogue.py
+++ b/plantainyoke/catalogue/tests/test_catalogue.py
@@ -38,6 +38,28 @@
         catalogue.apply(CatalogueChange(5, 6, RouteConfiguration(8)), 0.0)
         assert catalogue.configuration.version == 9
 
+    def test_lower_revision_of_a_later_epoch_is_applied(self):
+        # After a restoration of the store, revisions are given out again.
+        catalogue = Catalogue()
+        catalogue.apply(CatalogueChange(0, 15, RouteConfiguration(11)), 0.0)
+        restored = CatalogueChange(0, 14, epoch=1, targets=(_target("x"),))
+        assert catalogue.apply(restored, 0.0)
+        reused = CatalogueChange(14, 15, RouteConfiguration(13), epoch=1)
+        assert catalogue.apply(reused, 0.0)
+        assert (catalogue.configuration.version, set(catalogue.targets)) == (13, {"x"})
+
+    def test_change_of_a_later_epoch_that_builds_on_a_revision_is_refused(self):
+        catalogue = Catalogue()
+        catalogue.apply(CatalogueChange(0, 15), 0.0)
+        assert not catalogue.apply(CatalogueChange(14, 16, epoch=1), 0.0)
+
+    def test_change_of_an_earlier_epoch_is_ignored(self):
+        catalogue = Catalogue()
+        catalogue.apply(CatalogueChange(0, 14, epoch=2), 0.0)
+        late = CatalogueChange(0, 20, targets=(_target("x"),), epoch=1)
+        assert not catalogue.apply(late, 0.0)
+        assert not catalogue.targets
+
     def test_only_the_newest_target_of_a_host_is_used(self):
         # The entries of targets that crashed with their host lapse only later.
         catalogue = Catalogue()
@@ -130,6 +152,17 @@
         )
         assert (change.since, change.revision) == (1, 3)
 
+    def test_first_answer_of_an_epoch_gives_a_complete_change(self):
+        change_builder = ChangeBuilder()
+        configuration = RouteConfiguration(11)
+        before = StoreUpdate(15, True, configuration, {"x": _target("x")}, epoch=1)
+        change_builder.build_change(before, 0.0)
+        restored = StoreUpdate(14, True, configuration, {"x": _target("x")}, epoch=2)
+        change = change_builder.build_change(restored, 1.0)
+        assert (change.since, change.epoch, change.revision) == (0, 2, 14)
+        assert change.targets == (_target("x"),)
+        assert change.zones_out == ()
+
     def test_target_is_removed_at_once_if_there_was_no_outage(self):
         change_builder = ChangeBuilder()
         change_builder.build_change(
--- a/plantainyoke/catalogue/tests/test_links.py
+++ b/plantainyoke/catalogue/tests/test_links.py
@@ -10,10 +10,12 @@
     open_subscription,
     read_frame,
 )
+from plantainyoke.catalogue._types import Position
 from plantainyoke.conftest import make_scenario_runner, wait_until
 from plantainyoke.telemetry import Metrics
 
 PORT = 9_500
+START = Position(0, 0)
 
 
 class Source:
@@ -33,10 +35,12 @@
             self.server.publish(change)
 
     async def receive_first_changes(
-        self, known_revision: int, count: int = 1
+        self, known_revision: int, count: int = 1, *, epoch: int = 0
     ) -> list[CatalogueChange | None]:
         """Return the changes in the first frames of a new subscription."""
-        reader, writer = await open_subscription(self.address, known_revision)
+        reader, writer = await open_subscription(
+            self.address, Position(epoch, known_revision)
+        )
         frames = [await read_frame(reader) for _ in range(count)]
         writer.close()
         return [frame.change for frame in frames]
@@ -104,9 +108,9 @@
             source.add_targets()
             links = []
             for _ in range(2):
-                links.append(await open_subscription(source.address, 0))
+                links.append(await open_subscription(source.address, START))
                 assert (await read_frame(links[-1][0])).change is not None
-            reader, _ = await open_subscription(source.address, 0)
+            reader, _ = await open_subscription(source.address, START)
             with pytest.raises(LinkError):
                 await read_frame(reader)
             links[0][1].transport.abort()
@@ -118,7 +122,7 @@
     def test_subscriber_receives_each_new_change(self, run_scenario):
         async def scenario(source):
             source.add_targets(2)
-            reader, writer = await open_subscription(source.address, 2)
+            reader, writer = await open_subscription(source.address, Position(0, 2))
             assert (await read_frame(reader)).change is None
             source.add_targets()
             async with asyncio.timeout(1):
@@ -128,3 +132,33 @@
             writer.close()
 
         run_scenario(scenario)
+
+
+class TestRestoredStore:
+    def test_subscriber_of_an_earlier_epoch_receives_a_snapshot(self, run_scenario):
+        # It is ahead by the number of its revision only.
+        async def scenario(source):
+            source.add_targets(5)
+            restored = CatalogueChange(0, 3, targets=(), zones_out=(), epoch=1)
+            source.catalogue.apply(restored, 0.0)
+            source.server.publish(restored)
+            (change,) = await source.receive_first_changes(5)
+            assert (change.since, change.position) == (0, Position(1, 3))
+
+        run_scenario(scenario)
+
+    def test_subscriber_receives_the_first_change_of_an_epoch(self, run_scenario):
+        async def scenario(source):
+            source.add_targets(5)
+            reader, writer = await open_subscription(source.address, Position(0, 5))
+            assert (await read_frame(reader)).change is None
+            restored = CatalogueChange(0, 3, targets=(), zones_out=(), epoch=1)
+            source.catalogue.apply(restored, 0.0)
+            source.server.publish(restored)
+            async with asyncio.timeout(1):
+                while (change := (await read_frame(reader)).change) is None:
+                    pass
+            assert change.position == Position(1, 3)
+            writer.close()
+
+        run_scenario(scenario)
--- a/plantainyoke/packet_node/_node.py
+++ b/plantainyoke/packet_node/_node.py
@@ -226,6 +226,7 @@
             "name": self.settings.name,
             "zone": self.settings.zone,
             "ready": self.is_ready,
+            "epoch": catalogue.epoch,
             "revision": catalogue.revision,
             "version": catalogue.configuration.version,
             "age_s": self.follower.age_s(),
--- a/plantainyoke/platform/_reader.py
+++ b/plantainyoke/platform/_reader.py
@@ -38,12 +38,13 @@
     Attributes
     ----------
     store : StoreClient
-    revision : int
-        Revision after which the next call reads changes; 0 before the first call.
+    epoch, revision : int
+        Position after which the next call reads changes; 0 before the first call.
     """
 
     def __init__(self, address: Address) -> None:
         self.store = StoreClient(address)
+        self.epoch = 0
         self.revision = 0
 
     @property
@@ -59,7 +60,8 @@
         """Return the changes since the last call, or a snapshot.
 
         The first call returns a snapshot. So does a call after the store discarded
-        the history since the last revision.
+        the history since the last revision, or was restored from a copy: revisions
+        are then given out again, and a watch may miss changes without an error.
 
         Returns
         -------
@@ -73,15 +75,24 @@
         if self.revision:
             try:
                 changed = await self.store.watch(ALL_KEYS, self.revision, WATCH_WAIT_S)
-                return self._translate(changed, is_snapshot=False)
+                if changed.epoch == self.epoch:
+                    return self._translate(changed, is_snapshot=False)
             except HistoryGoneError:
                 log_event("store_history_gone", revision=self.revision)
         listed = await self.store.list(ALL_KEYS)
+        if self.revision and listed.epoch != self.epoch:
+            log_event(
+                "store_restored",
+                epoch=listed.epoch,
+                revision=listed.revision,
+                known_epoch=self.epoch,
+                known_revision=self.revision,
+            )
         return self._translate(listed, is_snapshot=True)
 
     def _translate(self, listing: Listing, *, is_snapshot: bool) -> StoreUpdate:
-        self.revision = listing.revision
-        update = StoreUpdate(listing.revision, is_snapshot)
+        self.epoch, self.revision = listing.epoch, listing.revision
+        update = StoreUpdate(listing.revision, is_snapshot, epoch=listing.epoch)
         for item in listing.items:
             try:
                 _apply_item(item, update)
--- a/plantainyoke/platform/_store.py
+++ b/plantainyoke/platform/_store.py
@@ -7,10 +7,9 @@
 import msgspec
 
 from plantainyoke.network import Address, HttpClient, HttpError, Response
-from plantainyoke.telemetry import log_event
 
 READ_TIMEOUT_S = 1.5  # the store answers in milliseconds, in slow phases in 0.3 s
-EPOCH_HEADER = "store-era"
+EPOCH_HEADER = "store-era"  # the platform's name of the epoch
 WATCH_MARGIN_S = 0.7  # for the answer to arrive after the wait of a watch has ended
 
 
@@ -65,10 +64,13 @@
     items : list of Item
     revision : int
         Revision after which to watch so that no change is missed.
+    epoch : int
+        Epoch to which the revision belongs.
     """
 
     items: list[Item]
     revision: int
+    epoch: int
 
 
 _page_decoder = msgspec.json.Decoder(_Page)
@@ -86,14 +88,15 @@
     ----------
     calls : int
         Number of calls so far, failed ones included.
-    epoch : str
-        Epoch that the last answer stated; rises when the store is restored from a copy.
+    epoch : int
+        Epoch that the last answer stated, 0 if none. It rises when the store is
+        restored from an older copy; revisions after the copy are then given out again.
     """
 
     def __init__(self, address: Address) -> None:
         self.http = HttpClient(address)
         self.calls = 0
-        self.epoch = ""
+        self.epoch = 0
 
     def close(self) -> None:
         """Close the connection to the store."""
@@ -112,17 +115,21 @@
             If the store does not answer in time, or answers with an error.
         """
         items: list[Item] = []
-        revision = 0
+        revision = epoch = 0
         after = ""
         while True:
             path = f"/api/kv-range?prefix={_quote(prefix)}"
             if after:
                 path += f"&after={_quote(after)}"
             page = await self._call(path, READ_TIMEOUT_S, _page_decoder)
+            if after and self.epoch != epoch:
+                items, after = [], ""  # the store was restored between two pages
+                continue
+            if not after:
+                revision, epoch = page.current_rev, self.epoch
             items += page.items
-            revision = revision or page.current_rev
             if not page.has_more or not page.items:
-                return Listing(items, revision)
+                return Listing(items, revision, epoch)
             after = page.items[-1].key
 
     async def watch(self, prefix: str, revision: int, wait_s: float) -> Listing:
@@ -149,7 +156,7 @@
             f"&waitMs={round(wait_s * 1000)}"
         )
         events = await self._call(path, wait_s + WATCH_MARGIN_S, _events_decoder)
-        return Listing(events.events, events.current_rev)
+        return Listing(events.events, events.current_rev, self.epoch)
 
     async def _call(self, path: str, timeout_s: float, decoder):
         self.calls += 1
@@ -157,16 +164,19 @@
             response = await self.http.get(path, timeout_s=timeout_s)
         except HttpError as error:
             raise StoreUnavailableError(str(error)) from error
-        epoch = response.headers.get(EPOCH_HEADER, "")
-        if epoch != self.epoch:
-            log_event("store_epoch", epoch=epoch, before=self.epoch or None)
-            self.epoch = epoch
         _check_status(response)
+        self._record_epoch(response)
         try:
             return decoder.decode(response.body)
         except msgspec.MsgspecError as error:
             raise StoreUnavailableError(f"malformed answer: {error}") from error
 
+    def _record_epoch(self, response: Response) -> None:
+        stated = response.headers.get(EPOCH_HEADER, "0")
+        if not stated.isdecimal():
+            raise StoreUnavailableError(f"malformed epoch: {stated!r}")
+        self.epoch = int(stated)
+
 
 def _quote(key: str) -> str:
     if not key:
