--- a/benchmarks/bench_catalogue.py
+++ b/benchmarks/bench_catalogue.py
@@ -22,7 +22,6 @@
 
 from plantainyoke.catalogue import (  # noqa: E402
     Catalogue,
-    CatalogueChange,
     ChangeBuilder,
     Route,
     RouteConfiguration,
@@ -80,59 +79,69 @@
     return round(statistics.median(times), 3)
 
 
+def measure_updates(
+    change_builder: ChangeBuilder, updates: list[StoreUpdate], *, now: float
+) -> tuple[float, float, int]:
+    """Build and apply the change of each update.
+
+    Returns
+    -------
+    build_ms, apply_ms : float
+        Median processor times.
+    encoded_bytes : int
+        Size of the first change on a link.
+    """
+    build_times, apply_times, sizes = [], [], []
+    for update in updates:
+        started = time.process_time()
+        change = change_builder.build_change(update, now)
+        built = time.process_time()
+        change_builder.catalogue.apply(change, now)
+        apply_times.append((time.process_time() - built) * 1000)
+        build_times.append((built - started) * 1000)
+        sizes.append(len(encode_catalogue_frame(CatalogueFrame(0, change))))
+    return (
+        round(statistics.median(build_times), 3),
+        round(statistics.median(apply_times), 3),
+        sizes[0],
+    )
+
+
 def measure(targets: int, routes: int) -> dict[str, float]:
     """Return the results for one fleet size."""
     configuration = build_configuration(1, routes)
     targets_by_name = build_targets(targets, routes)
-    change_builder = ChangeBuilder()
-    initial_snapshot = change_builder.build_change(
+    initial_change = ChangeBuilder(Catalogue()).build_change(
         StoreUpdate(1, True, configuration, targets_by_name), 0.0
     )
     tracemalloc.start()
     catalogue = Catalogue()
-    catalogue.apply(initial_snapshot, 0.0)
+    catalogue.apply(initial_change, 0.0)
     catalogue_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    names = list(targets_by_name)
-    changes: list[CatalogueChange] = []
-
-    def change_target(number: int) -> None:
-        target = msgspec.structs.replace(targets_by_name[names[number]], draining=True)
-        revision = change_builder.position.revision + 1
-        update = StoreUpdate(revision, False, None, {target.name: target})
-        changes.append(change_builder.build_change(update, 1.0))
-
-    target_read_ms = measure_median_ms(change_target)
-    target_bytes = len(encode_catalogue_frame(CatalogueFrame(0, changes[0])))
-    target_apply_ms = measure_median_ms(
-        lambda number: catalogue.apply(changes[number], 1.0)
+    change_builder = ChangeBuilder(catalogue)
+    updates = []
+    for number, target in enumerate(list(targets_by_name.values())[:ROUNDS]):
+        draining = msgspec.structs.replace(target, draining=True)
+        updates.append(StoreUpdate(2 + number, False, None, {target.name: draining}))
+    target_read_ms, target_apply_ms, target_bytes = measure_updates(
+        change_builder, updates, now=1.0
     )
-    changes.clear()
-    new_configurations = []
+    updates = []
     for number in range(ROUNDS):
         changed_routes = [
             msgspec.structs.replace(route, aim_s=1.0 + number)
             for route in configuration.routes[:CHANGED_ROUTES]
         ]
         unchanged_routes = configuration.routes[CHANGED_ROUTES:]
-        new_configurations.append(
-            msgspec.structs.replace(
-                configuration,
-                version=2 + number,
-                routes=(*changed_routes, *unchanged_routes),
-            )
+        new_configuration = msgspec.structs.replace(
+            configuration,
+            version=2 + number,
+            routes=(*changed_routes, *unchanged_routes),
         )
-
-    def change_routes(number: int) -> None:
-        update = StoreUpdate(
-            change_builder.position.revision + 1, False, new_configurations[number]
-        )
-        changes.append(change_builder.build_change(update, 2.0))
-
-    routes_read_ms = measure_median_ms(change_routes)
-    routes_bytes = len(encode_catalogue_frame(CatalogueFrame(0, changes[0])))
-    routes_apply_ms = measure_median_ms(
-        lambda number: catalogue.apply(changes[number], 2.0)
+        updates.append(StoreUpdate(100 + number, False, new_configuration))
+    routes_read_ms, routes_apply_ms, routes_bytes = measure_updates(
+        change_builder, updates, now=2.0
     )
     zone = compute_zone_id("zone-1")
     flows = [number.to_bytes(12, "big") for number in range(1000)]
@@ -146,7 +155,8 @@
         "routes": routes,
         "catalogue_mb": round(catalogue_bytes / 1e6, 2),
         "snapshot_kb": round(
-            len(encode_catalogue_frame(CatalogueFrame(0, catalogue.snapshot()))) / 1000
+            len(encode_catalogue_frame(CatalogueFrame(0, catalogue.snapshot(0.0))))
+            / 1000
         ),
         "target_read_ms": target_read_ms,
         "target_apply_ms": target_apply_ms,
--- a/plantainyoke/catalogue/__init__.py
+++ b/plantainyoke/catalogue/__init__.py
@@ -11,6 +11,7 @@
 from plantainyoke.catalogue._subscription import CatalogueServer
 from plantainyoke.catalogue._types import (
     CatalogueChange,
+    Position,
     Route,
     RouteConfiguration,
     RouteShare,
@@ -24,6 +25,7 @@
     "CatalogueFollower",
     "CatalogueServer",
     "CatalogueChange",
+    "Position",
     "RouteConfiguration",
     "StoreUpdate",
     "Route",
--- a/plantainyoke/catalogue/_catalogue.py
+++ b/plantainyoke/catalogue/_catalogue.py
@@ -4,10 +4,12 @@
 their holders.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
+from typing import NamedTuple
 
 import msgspec
 
+from plantainyoke.catalogue._retention import RETURN_GRACE_S, merge_targets
 from plantainyoke.catalogue._types import (
     CatalogueChange,
     Position,
@@ -15,10 +17,19 @@
     RouteConfiguration,
     ServiceLimits,
     Target,
+    Unconfirmed,
 )
 from plantainyoke.hashing import HashRing, compute_zone_id
 
 DEPARTURE_RETENTION_S = 20.0  # targets may serve for many seconds after they left
+KNOWLEDGE_RETENTION_S = 60.0  # longer than a copy of the store is old
+
+
+class Departure(NamedTuple):
+    """Incarnation of a target that left, and the time in seconds."""
+
+    born_ms: int
+    at: float
 
 
 class Catalogue:
@@ -50,6 +61,18 @@
     zones_out : frozenset of str
     departure_times : dict of int to float
         Hosts without a target, and the time at which the last one left.
+    departures : dict of str to Departure
+        Targets that left recently, by name.
+    zone_returns : dict of str to float
+        Zones that were taken back in, and the time.
+    unconfirmed : dict of str to Target or None
+        Published entries, by name, where the view keeps another one or none.
+    published_zones_out : frozenset of str
+        Zones out in the store; the view may keep others.
+    grace_until : float
+        Time until which the view keeps what is unconfirmed.
+    changes_applied : int
+        Number of times that the view changed.
     listeners : list of callable
         Called with each change after it was applied.
     """
@@ -67,6 +90,12 @@
         self.rings_by_zone: dict[int, HashRing] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.departure_times: dict[int, float] = {}
+        self.departures: dict[str, Departure] = {}
+        self.zone_returns: dict[str, float] = {}
+        self.unconfirmed: dict[str, Target | None] = {}
+        self.published_zones_out: frozenset[str] = frozenset()
+        self.grace_until = float("-inf")
+        self.changes_applied = 0
         self.listeners: list[Callable[[CatalogueChange], None]] = []
 
     @property
@@ -82,24 +111,90 @@
         """
         if change.position <= self.position:
             return False
-        builds_on_this = change.epoch == self.epoch and change.since <= self.revision
-        if change.since and not builds_on_this:
+        if not change.builds_on(self.position):
             return False
         received = change.configuration
         if received is not None and received.version > self.configuration.version:
             if change.version_since not in (0, self.configuration.version):
                 return False
             self._apply_configuration(received, change)
+        if change.since:
+            view_change = self._resolve_difference(change, now)
+        else:
+            view_change = self._resolve_snapshot(change, now)
         self.epoch, self.revision = change.position
-        self._apply_targets(change, now)
-        if change.zones_out is not None:
-            self.zones_out = frozenset(change.zones_out)
-        for listener in self.listeners:
-            listener(change)
+        self._apply_view(view_change, now)
         return True
 
-    def snapshot(self) -> CatalogueChange:
+    def _compare_view(
+        self,
+        view: dict[str, Target],
+        published: Mapping[str, Target | None],
+        zones_out: Collection[str],
+    ) -> CatalogueChange:
+        """Record what of a new view is unconfirmed; return the difference to it."""
+        self.unconfirmed = {
+            name: published.get(name)
+            for name in view.keys() | published.keys()
+            if view.get(name) != published.get(name)
+        }
+        return CatalogueChange(
+            self.revision,
+            self.revision,
+            targets=tuple(
+                target
+                for name, target in view.items()
+                if self.targets.get(name) != target
+            ),
+            removed=tuple(self.targets.keys() - view.keys()),
+            zones_out=tuple(zones_out),
+            epoch=self.epoch,
+        )
+
+    def confirm(self, now: float) -> CatalogueChange | None:
+        """Adopt what the store has published where the view still differs from it.
+
+        Returns
+        -------
+        CatalogueChange or None
+            What changed; None if the view doesn't differ, or before `grace_until`.
+        """
+        if now < self.grace_until or not self.is_unconfirmed:
+            return None
+        change = CatalogueChange(
+            self.revision,
+            self.revision,
+            targets=tuple(target for target in self.unconfirmed.values() if target),
+            removed=tuple(
+                name for name, target in self.unconfirmed.items() if not target
+            ),
+            zones_out=tuple(sorted(self.published_zones_out)),
+            epoch=self.epoch,
+        )
+        self.unconfirmed = {}
+        self._apply_view(change, now)
+        return change
+
+    @property
+    def is_unconfirmed(self) -> bool:
+        """Whether the view differs from what the store has published."""
+        return bool(self.unconfirmed) or self.zones_out != self.published_zones_out
+
+    def get_published_target(self, name: str) -> Target | None:
+        """Return the entry of a target in the store, None if it has none."""
+        if name in self.unconfirmed:
+            return self.unconfirmed[name]
+        return self.targets.get(name)
+
+    def snapshot(self, now: float) -> CatalogueChange:
         """Return the whole state as a change that replaces everything."""
+        unconfirmed = None
+        if self.is_unconfirmed:
+            unconfirmed = Unconfirmed(
+                dict(self.unconfirmed),
+                max(0.0, self.grace_until - now),
+                tuple(sorted(self.published_zones_out)),
+            )
         return CatalogueChange(
             0,
             self.revision,
@@ -111,6 +206,7 @@
             targets=tuple(self.targets.values()),
             zones_out=tuple(sorted(self.zones_out)),
             epoch=self.epoch,
+            unconfirmed=unconfirmed,
         )
 
     def list_eligible_targets(self, service: str) -> list[Target]:
@@ -134,30 +230,115 @@
         self.services.update(received.services)
         self.configuration = msgspec.structs.replace(received, routes=(), services={})
 
-    def _apply_targets(self, change: CatalogueChange, now: float) -> None:
-        """Update targets and indexes at a cost proportional to the change."""
-        removed_names = set(change.removed)
-        if change.since == 0:
-            removed_names = self.targets.keys() - {
-                target.name for target in change.targets
+    def _resolve_difference(
+        self, change: CatalogueChange, now: float
+    ) -> CatalogueChange:
+        """Record what a difference confirms; return it with the zones of the view."""
+        for target in change.targets:
+            self.unconfirmed.pop(target.name, None)
+        for name in change.removed:
+            self.unconfirmed.pop(name, None)
+        if change.unconfirmed is not None:
+            for name in change.unconfirmed.targets:
+                self.unconfirmed.pop(name, None)
+                if name in self.targets:
+                    self.unconfirmed[name] = None
+            until = now + change.unconfirmed.remaining_s
+            self.grace_until = max(self.grace_until, until)
+        if change.zones_out is None:
+            return change
+        published, before = frozenset(change.zones_out), self.published_zones_out
+        zones = (self.zones_out | (published - before)) - (before - published)
+        self.published_zones_out = published
+        return msgspec.structs.replace(change, zones_out=tuple(zones))
+
+    def _resolve_snapshot(self, change: CatalogueChange, now: float) -> CatalogueChange:
+        """Return the difference to a snapshot, without what the view keeps.
+
+        After a restoration of the store the view keeps all that it knew; within the
+        same epoch it keeps only what it kept before.
+        """
+        view = {target.name: target for target in change.targets}
+        zones = frozenset(change.zones_out or ())
+        published, published_zones = view, zones
+        grace_until = float("-inf")
+        if change.unconfirmed is not None:
+            published = {**view, **change.unconfirmed.targets}
+            if change.unconfirmed.zones_out is not None:
+                published_zones = frozenset(change.unconfirmed.zones_out)
+            grace_until = now + change.unconfirmed.remaining_s
+        if self.revision and change.epoch > self.epoch:
+            gone = self._list_departed(view, now)
+            view = merge_targets(self.targets, view, gone)
+            zones = self.zones_out | (zones - self._list_returned_zones(now))
+            grace_until = max(grace_until, now + RETURN_GRACE_S)
+        elif now < self.grace_until:
+            kept = {
+                name: self.targets[name]
+                for name in self.unconfirmed.keys() & self.targets
+            }
+            hidden = {
+                name
+                for name in self.unconfirmed.keys() - self.targets
+                if view.get(name) == self.unconfirmed[name]
             }
+            view = merge_targets(kept, view, hidden)
+            kept_zones = self.zones_out - self.published_zones_out
+            zones = kept_zones | (zones - (self.published_zones_out - self.zones_out))
+            grace_until = max(grace_until, self.grace_until)
+        self.grace_until = grace_until
+        self.published_zones_out = published_zones
+        return self._compare_view(view, published, zones)
+
+    def _list_departed(self, published: dict[str, Target], now: float) -> set[str]:
+        """Return the names of published targets that are known to be gone."""
+        return {
+            name
+            for name, target in published.items()
+            if name in self.departures
+            and target.born_ms <= self.departures[name].born_ms
+            and now - self.departures[name].at < KNOWLEDGE_RETENTION_S
+        }
+
+    def _list_returned_zones(self, now: float) -> set[str]:
+        return {
+            zone
+            for zone, returned_at in self.zone_returns.items()
+            if now - returned_at < KNOWLEDGE_RETENTION_S
+        }
+
+    def _apply_view(self, change: CatalogueChange, now: float) -> None:
+        """Update zones, targets and indexes at a cost proportional to the change."""
+        if change.zones_out is not None:
+            zones = frozenset(change.zones_out)
+            for zone in self.zones_out - zones:
+                self.zone_returns[zone] = now
+            for zone in zones:
+                self.zone_returns.pop(zone, None)
+            self.zones_out = zones
         changed_hosts = set()
-        for name in removed_names:
-            changed_hosts |= self._remove_target(name)
+        for name in change.removed:
+            changed_hosts |= self._remove_target(name, now)
         for target in change.targets:
-            changed_hosts |= self._remove_target(target.name)
+            changed_hosts |= self._remove_target(target.name, now)
+            self.departures.pop(target.name, None)
             self.targets[target.name] = target
             self.all_targets_by_host.setdefault(target.host, {})[target.name] = target
             changed_hosts.add(target.host)
         for host in changed_hosts:
             self._index_host(host, now)
         self._expire_departures(now)
+        self.changes_applied += 1
+        for listener in self.listeners:
+            listener(change)
 
-    def _remove_target(self, name: str) -> set[int]:
+    def _remove_target(self, name: str, now: float) -> set[int]:
         """Remove a target; return the host whose index must be updated."""
         target = self.targets.pop(name, None)
         if target is None:
             return set()
+        self.departures.pop(name, None)  # so that the last one is the latest
+        self.departures[name] = Departure(target.born_ms, now)
         remaining = self.all_targets_by_host[target.host]
         del remaining[name]
         if not remaining:
@@ -201,5 +382,10 @@
         while self.departure_times:
             oldest, departed_at = next(iter(self.departure_times.items()))
             if now - departed_at < DEPARTURE_RETENTION_S:
-                return
+                break
             del self.departure_times[oldest]
+        while self.departures:
+            oldest_name, departure = next(iter(self.departures.items()))
+            if now - departure.at < KNOWLEDGE_RETENTION_S:
+                break
+            del self.departures[oldest_name]
--- a/plantainyoke/catalogue/_change_builder.py
+++ b/plantainyoke/catalogue/_change_builder.py
@@ -1,22 +1,21 @@
 """Builds changes of the catalogue from the answers of the platform's store.
 
-Load pattern: while the store is unreachable, targets cannot renew their entries, and
-when it returns, every entry has lapsed although all targets serve. A lapsed entry is
-therefore kept until its target has had time to renew it.
+Entries that are missing right after the store was unreachable may have lapsed although
+their targets serve. The change then keeps them as unconfirmed (see `_retention`).
 """
 
 import msgspec
 
+from plantainyoke.catalogue._catalogue import Catalogue
+from plantainyoke.catalogue._retention import RETURN_GRACE_S
 from plantainyoke.catalogue._types import (
     CatalogueChange,
     Position,
-    Route,
     RouteConfiguration,
-    ServiceLimits,
     Target,
+    Unconfirmed,
 )
 
-RETURN_GRACE_S = 2.3  # targets renew within two seconds of the store's return
 OUTAGE_S = 1.8  # after a longer time without an answer, entries may have lapsed
 
 
@@ -57,100 +56,92 @@
 
 
 class ChangeBuilder:
-    """Builds changes, and retains entries that lapsed while the store was unreachable.
+    """Builds changes that lead a catalogue to what the store has published.
+
+    A change has all that was written, not only what is new to this catalogue: a
+    subscriber may have followed another reader, which read in between what was written
+    and deleted again.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        What it has at its position is complete.
 
     Attributes
     ----------
-    position : Position
-        Position of the store's last answer.
-    lapsed_deadlines : dict of str to float
-        Names of targets whose entries are missing, and the time until which they are
-        kept.
     last_answer_at : float
         Time of the store's last answer.
     store_returned_at : float
         Time of the first answer after the last outage of the store.
-    last_change_revision : int
-        Revision of the last change, 0 if there is none in this epoch.
     """
 
-    def __init__(self) -> None:
-        self.position = Position(0, 0)
-        self.last_change_revision = 0
-        self.configuration = RouteConfiguration()
-        self.routes: dict[tuple[int, int], Route] = {}
-        self.services: dict[str, ServiceLimits] = {}
-        self.targets: dict[str, Target] = {}
-        self.zones_out: set[str] = set()
-        self.lapsed_deadlines: dict[str, float] = {}
+    def __init__(self, catalogue: Catalogue) -> None:
+        self.catalogue = catalogue
         self.last_answer_at = float("-inf")
         self.store_returned_at = float("-inf")
 
-    def adopt_snapshot(self, snapshot: CatalogueChange) -> None:
-        """Replace the state by the catalogue's if that is newer.
-
-        The catalogue may have changed through other processes. Targets missing from
-        the store's next answer are then recognized as lapsed.
-        """
-        if snapshot.position <= self.position:
-            return
-        self.position = snapshot.position
-        self.last_change_revision = snapshot.revision
-        self.targets = {target.name: target for target in snapshot.targets}
-        self.zones_out = set(snapshot.zones_out or ())
-        received = snapshot.configuration
-        if received is not None and received.version > self.configuration.version:
-            self._set_configuration(received)
-
     def build_change(self, update: StoreUpdate, now: float) -> CatalogueChange | None:
-        """Apply an answer of the store and return what it changes.
+        """Return the change to the catalogue that an answer of the store requires.
 
         Parameters
         ----------
         update : StoreUpdate
+            A snapshot, or what was written after the catalogue's position or an
+            earlier one.
         now : float
             Time of the answer.
 
         Returns
         -------
         CatalogueChange or None
-            None if the catalogue doesn't change.
+            None if the catalogue has reached the position of the answer.
         """
-        is_new_epoch = update.epoch > self.position.epoch
+        catalogue = self.catalogue
+        is_new_epoch = update.epoch > catalogue.epoch
         if now - self.last_answer_at > OUTAGE_S or is_new_epoch:
             self.store_returned_at = now
         self.last_answer_at = now
-        if update.position < self.position:
+        if update.position <= catalogue.position:
             return None
-        if is_new_epoch:
-            self.last_change_revision = 0
-        since = self.last_change_revision
-        self.position = update.position
-        configuration, version_since, removed_routes = self._update_routes(update)
-        zones_changed = self._update_zones(update)
-        targets, removed = self._update_targets(update, now)
-        if not (targets or removed or zones_changed or configuration or not since):
-            return None
-        if not since:
-            targets, removed = tuple(self.targets.values()), ()
-        zones = tuple(sorted(self.zones_out)) if zones_changed or not since else None
-        self.last_change_revision = update.revision
-        return CatalogueChange(
-            since,
+        configuration, version_since, removed_routes = self._compare_routes(update)
+        change = CatalogueChange(
+            0 if is_new_epoch else catalogue.revision,
             update.revision,
             configuration,
             version_since,
             removed_routes,
-            targets=targets,
-            removed=removed,
-            zones_out=zones,
+            targets=tuple(update.targets.values()),
             epoch=update.epoch,
         )
+        if not change.since:
+            zones_out = tuple(sorted(update.zones_out))
+            return msgspec.structs.replace(change, zones_out=zones_out)
+        return self._add_difference(change, update, now)
+
+    def _add_difference(
+        self, change: CatalogueChange, update: StoreUpdate, now: float
+    ) -> CatalogueChange:
+        """Return a change with what it takes away, and the zones out."""
+        missing = tuple(update.removed)
+        if update.is_snapshot:
+            missing = self._list_missing_targets(update)
+        grace_s = self.store_returned_at + RETURN_GRACE_S - now
+        zones_out = self._get_zones_out(update)
+        if missing and grace_s > 0:
+            unconfirmed = Unconfirmed(dict.fromkeys(missing), grace_s)
+            change = msgspec.structs.replace(change, unconfirmed=unconfirmed)
+        else:
+            change = msgspec.structs.replace(change, removed=missing)
+        return msgspec.structs.replace(
+            change,
+            zones_out=None if zones_out is None else tuple(sorted(zones_out)),
+            is_exact=update.is_snapshot,
+        )
 
-    def _update_routes(
+    def _compare_routes(
         self, update: StoreUpdate
     ) -> tuple[RouteConfiguration | None, int, tuple[tuple[int, int], ...]]:
-        """Apply a newer configuration and return what it changes.
+        """Return what a newer configuration changes.
 
         Returns
         -------
@@ -162,62 +153,43 @@
         removed_routes : tuple of (int, int)
             Service addresses and ports whose routes are gone.
         """
-        received = update.configuration
-        if received is None or received.version <= self.configuration.version:
+        received, catalogue = update.configuration, self.catalogue
+        version = catalogue.configuration.version
+        if received is None or received.version <= version:
             return None, 0, ()
-        since, before, services = self.configuration.version, self.routes, self.services
-        self._set_configuration(received)
-        removed = tuple(endpoint for endpoint in before if endpoint not in self.routes)
+        routes = {route.endpoint: route for route in received.routes}
+        before = catalogue.routes
+        removed = tuple(endpoint for endpoint in before if endpoint not in routes)
         changed = tuple(
-            route
-            for endpoint, route in self.routes.items()
-            if before.get(endpoint) != route
+            route for endpoint, route in routes.items() if before.get(endpoint) != route
         )
         limits = {
             name: service
             for name, service in received.services.items()
-            if services.get(name) != service
+            if catalogue.services.get(name) != service
         }
         return (
             msgspec.structs.replace(received, routes=changed, services=limits),
-            since,
+            version,
             removed,
         )
 
-    def _set_configuration(self, received: RouteConfiguration) -> None:
-        self.configuration = msgspec.structs.replace(received, routes=(), services={})
-        self.services = received.services
-        self.routes = {route.endpoint: route for route in received.routes}
-
-    def _update_zones(self, update: StoreUpdate) -> bool:
-        before = set(self.zones_out)
+    def _get_zones_out(self, update: StoreUpdate) -> frozenset[str] | None:
+        """Return the published zones out, None if the answer concerns no zone."""
         if update.is_snapshot:
-            self.zones_out = set(update.zones_out)
-        else:
-            self.zones_out |= update.zones_out
-            self.zones_out -= update.zones_restored
-        return self.zones_out != before
-
-    def _update_targets(
-        self, update: StoreUpdate, now: float
-    ) -> tuple[tuple[Target, ...], tuple[str, ...]]:
-        changed = []
-        for name, target in update.targets.items():
-            self.lapsed_deadlines.pop(name, None)
-            if self.targets.get(name) != target:
-                self.targets[name] = target
-                changed.append(target)
-        missing = set(update.removed)
-        if update.is_snapshot:
-            missing |= self.targets.keys() - update.targets.keys()
-        kept_until = self.store_returned_at + RETURN_GRACE_S
-        for name in missing:
-            if name in self.targets:
-                self.lapsed_deadlines.setdefault(name, kept_until)
-        expired = [
-            name for name, deadline in self.lapsed_deadlines.items() if now >= deadline
-        ]
-        for name in expired:
-            del self.lapsed_deadlines[name]
-            self.targets.pop(name, None)
-        return tuple(changed), tuple(expired)
+            return frozenset(update.zones_out)
+        if not update.zones_out and not update.zones_restored:
+            return None
+        before = self.catalogue.published_zones_out
+        return (before | update.zones_out) - update.zones_restored
+
+    def _list_missing_targets(self, update: StoreUpdate) -> tuple[str, ...]:
+        """Return the names of targets whose entries a snapshot no longer has."""
+        catalogue = self.catalogue
+        known = catalogue.targets.keys() | catalogue.unconfirmed.keys()
+        return tuple(
+            name
+            for name in (known | update.removed) - update.targets.keys()
+            if name in update.removed
+            or catalogue.get_published_target(name) is not None
+        )
--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -18,6 +18,7 @@
     HEARTBEAT_INTERVAL_S,
     CatalogueServer,
     LinkError,
+    Subscribe,
     open_subscription,
     read_frame,
 )
@@ -43,7 +44,7 @@
 MIN_BACKOFF_S = 0.4  # delay after a first failed call to the store
 MAX_BACKOFF_S = 2.0
 
-Read = Callable[[], Awaitable[StoreUpdate]]
+Read = Callable[[Position], Awaitable[StoreUpdate]]
 
 
 class CatalogueFollower:
@@ -57,8 +58,8 @@
         Identifier of the process's zone.
     catalogue : Catalogue
     read : callable
-        Coroutine function that returns what changed in the store since its last call,
-        and a snapshot at the first.
+        Coroutine function that returns what was written to the store after a position,
+        or a snapshot.
     store_errors : tuple of type
         Exceptions that ``read`` raises if the store fails.
     get_address : callable
@@ -110,7 +111,7 @@
         self.seeds = seeds
         self.metrics = metrics
         self.jitter = jitter
-        self.change_builder = ChangeBuilder()
+        self.change_builder = ChangeBuilder(catalogue)
         self.server = CatalogueServer(catalogue, self.reported_age_s, metrics)
         self.is_failing = False
         self.is_reader = True
@@ -118,8 +119,9 @@
         self.first_read_done = asyncio.Event()
         self.confirmed_at = float("-inf")
         self.cached_ranking: list[int] = []
-        self.cached_ranking_position = Position(0, -1)
+        self.cached_ranking_changes = -1
         self.source = 0
+        self.confirmation: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
         self.source_lost_at = self.loop.time()
 
@@ -160,7 +162,7 @@
         the other to read.
         """
         catalogue = self.catalogue
-        if self.cached_ranking_position == catalogue.position:
+        if self.cached_ranking_changes == catalogue.changes_applied:
             return self.cached_ranking
         ring = catalogue.rings_by_zone.get(self.zone)
         hosts = ring.hosts if ring else list(catalogue.target_by_host) or self.seeds
@@ -169,7 +171,7 @@
         self.cached_ranking = [
             int.from_bytes(member, "big") for member in rank_by_rendezvous(key, members)
         ]
-        self.cached_ranking_position = catalogue.position
+        self.cached_ranking_changes = catalogue.changes_applied
         return self.cached_ranking
 
     def get_rank(self) -> int:
@@ -207,7 +209,7 @@
             await self._wait_for_turn()
             started = self.loop.time()
             try:
-                update = await self.read()
+                update = await self.read(self.catalogue.position)
             except self.store_errors as error:
                 self.metrics.counters["store.failed"] += 1
                 log_event(
@@ -251,7 +253,6 @@
                 known_epoch=self.catalogue.epoch,
             )
             return
-        self.change_builder.adopt_snapshot(self.catalogue.snapshot())
         change = self.change_builder.build_change(update, now)
         self.confirmed_at = now
         if change is not None:
@@ -282,11 +283,40 @@
             targets=len(self.catalogue.targets),
             changed=len(change.targets),
             removed=len(change.removed),
+            unconfirmed=len(self.catalogue.unconfirmed) or None,
             zones_out=",".join(sorted(self.catalogue.zones_out)) or None,
         )
         self.server.publish(change)
+        self._schedule_confirmation()
         return True
 
+    def _schedule_confirmation(self) -> None:
+        """Adopt what the store has published once its writers had time to write."""
+        if self.catalogue.is_unconfirmed and self.confirmation is None:
+            self.confirmation = self.loop.call_at(
+                self.catalogue.grace_until, self._confirm
+            )
+
+    def _confirm(self) -> None:
+        self.confirmation = None
+        change = self.catalogue.confirm(self.loop.time())
+        if change is not None:
+            log_event(
+                "catalogue_confirmed",
+                epoch=change.epoch,
+                revision=change.revision,
+                targets=len(self.catalogue.targets),
+                changed=len(change.targets),
+                removed=len(change.removed),
+                zones_out=",".join(sorted(self.catalogue.zones_out)) or None,
+            )
+        self._schedule_confirmation()
+
+    def close(self) -> None:
+        """Cancel the timer."""
+        if self.confirmation is not None:
+            self.confirmation.cancel()
+
     # Task that subscribes to another process.
 
     async def run_subscriber(self) -> None:
@@ -331,7 +361,8 @@
         """Apply changes from a source until it fails or another is to be used."""
         try:
             reader, writer = await open_subscription(
-                self.get_address(host), self.catalogue.position
+                self.get_address(host),
+                self._describe_known(),
             )
         except LinkError as error:
             self.metrics.counters["source.unreachable"] += 1
@@ -355,6 +386,13 @@
             age_s=self._get_rounded_age_s(),
         )
 
+    def _describe_known(self) -> Subscribe:
+        catalogue = self.catalogue
+        return Subscribe(
+            *catalogue.position,
+            catalogue.configuration.version,
+        )
+
     async def _receive_frames(
         self, reader: asyncio.StreamReader, host: int, sources: list[int]
     ) -> str:
--- a/plantainyoke/catalogue/_subscription.py
+++ b/plantainyoke/catalogue/_subscription.py
@@ -38,10 +38,13 @@
     ----------
     epoch, revision : int
         Position that the subscriber has reached; it needs only changes after this one.
+    version : int
+        Configuration version that the subscriber has.
     """
 
-    epoch: int
-    revision: int
+    epoch: int = 0
+    revision: int = 0
+    version: int = 0
 
     @property
     def position(self) -> Position:
@@ -97,15 +100,15 @@
 
 
 async def open_subscription(
-    address: Address, position: Position
+    address: Address, request: Subscribe
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Connect to a source and subscribe.
 
     Parameters
     ----------
     address : Address
-    position : Position
-        Position of this process's catalogue.
+    request : Subscribe
+        What this process's catalogue has.
 
     Raises
     ------
@@ -117,7 +120,7 @@
             reader, writer = await asyncio.open_connection(*address)
     except (OSError, TimeoutError) as error:
         raise LinkError(type(error).__name__) from error
-    writer.write(encode_catalogue_frame(Subscribe(*position)))
+    writer.write(encode_catalogue_frame(request))
     return reader, writer
 
 
@@ -133,8 +136,8 @@
 
     Attributes
     ----------
-    subscribers : dict of StreamWriter to Position
-        Position of each subscriber.
+    subscribers : dict of StreamWriter to Subscribe
+        What each subscriber has, including what was sent to it.
     recent_changes : deque of CatalogueChange
         Last changes since the last snapshot, the newest last.
     """
@@ -148,7 +151,7 @@
         self.metrics = metrics
         self.catalogue = catalogue
         self.age_s = age_s
-        self.subscribers: dict[asyncio.StreamWriter, Position] = {}
+        self.subscribers: dict[asyncio.StreamWriter, Subscribe] = {}
         self.recent_changes: deque[CatalogueChange] = deque(maxlen=MAX_RECENT_CHANGES)
 
     async def listen(self, address: Address, stack: AsyncExitStack) -> None:
@@ -182,7 +185,7 @@
                 # When all processes start at once, they know the same seeds. A process
                 # that is refused tries its next source.
                 raise LinkError("limit of subscribers reached")
-            self.subscribers[writer] = request.position
+            self.subscribers[writer] = request
             while not writer.is_closing():
                 if not self._send_missing_changes(writer):
                     self._write(writer, CatalogueFrame(self._get_age_ms()))
@@ -206,28 +209,34 @@
         processes change their source though they lack a change or two at most. They
         receive these changes rather than a snapshot.
         """
-        changes = self._list_changes_after(self.subscribers[writer])
+        now = asyncio.get_running_loop().time()
+        changes = self.list_changes_after(self.subscribers[writer], now)
         for change in changes:
             self._write(writer, CatalogueFrame(self._get_age_ms(), change))
-            self.subscribers[writer] = change.position
+        if changes:
+            self.subscribers[writer] = record_sent(self.subscribers[writer], changes)
         return bool(changes)
 
-    def _list_changes_after(self, known: Position) -> list[CatalogueChange]:
-        """Return the changes after a position, none if it isn't reached here.
+    def list_changes_after(self, known: Subscribe, now: float) -> list[CatalogueChange]:
+        """Return the changes that a subscriber lacks, none if it is ahead.
 
-        After a restoration of the store, the numbers of revisions say nothing about a
-        subscriber of an earlier epoch. It receives a snapshot.
+        A subscriber that cannot apply the recent changes receives a snapshot: it has
+        another configuration version than these build on, since it followed another
+        source before, or a position of an earlier epoch, of which the number of the
+        revision says nothing after a restoration of the store.
         """
-        if self.catalogue.position <= known:
+        catalogue = self.catalogue
+        if not catalogue.revision:
             return []
-        missing = [change for change in self.recent_changes if change.position > known]
-        if (
-            missing
-            and known.epoch == missing[0].epoch
-            and (0 < missing[0].since <= known.revision)
-        ):
+        if catalogue.position <= known.position:
+            return []
+        missing = [
+            change for change in self.recent_changes if change.position > known.position
+        ]
+        version = catalogue.configuration.version
+        if missing and _can_apply(missing, known, version):
             return missing
-        return [self.catalogue.snapshot()]
+        return [catalogue.snapshot(now)]
 
     def _write(self, writer: asyncio.StreamWriter, frame: CatalogueFrame) -> None:
         if writer.is_closing():
@@ -244,3 +253,27 @@
         for writer in list(self.subscribers):
             with suppress(OSError):
                 writer.transport.abort()
+
+
+def record_sent(known: Subscribe, changes: list[CatalogueChange]) -> Subscribe:
+    """Return what a subscriber has after it received changes."""
+    versions = [one.configuration.version for one in changes if one.configuration]
+    return Subscribe(
+        *max(known.position, changes[-1].position), max(known.version, *versions, 0)
+    )
+
+
+def _can_apply(
+    changes: list[CatalogueChange], known: Subscribe, final_version: int
+) -> bool:
+    """Return whether changes lead a subscriber to a configuration version."""
+    if not known.revision or not changes[0].builds_on(known.position):
+        return False
+    version = known.version
+    for change in changes:
+        received = change.configuration
+        if received is not None and received.version > version:
+            if change.version_since not in (0, version):
+                return False
+            version = received.version
+    return version >= final_version
--- a/plantainyoke/catalogue/_types.py
+++ b/plantainyoke/catalogue/_types.py
@@ -133,6 +133,25 @@
     born_ms: int = 0
 
 
+class Unconfirmed(msgspec.Struct, frozen=True):
+    """Differences between a view and what the store has published.
+
+    Attributes
+    ----------
+    targets : dict of str to Target or None
+        Published entry of each target for which the view has another one or none; None
+        if the store has no entry.
+    remaining_s : float
+        Time until the view adopts what is published.
+    zones_out : tuple of str, optional
+        Published zones that receive no new flows; None if the view has the same.
+    """
+
+    targets: dict[str, Target | None]
+    remaining_s: float
+    zones_out: tuple[str, ...] | None = None
+
+
 class CatalogueChange(msgspec.Struct, frozen=True):
     """Difference between two revisions of the catalogue, both of one epoch.
 
@@ -156,6 +175,12 @@
         All zones that receive no new flows; None if unchanged.
     epoch : int
         Epoch of the store to which both revisions belong.
+    unconfirmed : Unconfirmed, optional
+        Targets to keep for a while although the store lacks their entries and, in a
+        change that replaces everything, the other differences to what is published.
+    is_exact : bool
+        Whether the change applies at ``since`` only. Other changes contain all that was
+        written after ``since``, and also apply at a revision between the two.
     """
 
     since: int
@@ -167,8 +192,20 @@
     removed: tuple[str, ...] = ()
     zones_out: tuple[str, ...] | None = None
     epoch: int = 0
+    unconfirmed: Unconfirmed | None = None
+    is_exact: bool = False
 
     @property
     def position(self) -> Position:
         """Position in the store's history that the change leads to."""
         return Position(self.epoch, self.revision)
+
+    def builds_on(self, position: Position) -> bool:
+        """Return whether the change applies to a view at a position."""
+        if not self.since:
+            return True
+        if self.epoch != position.epoch:
+            return False
+        if self.is_exact:
+            return self.since == position.revision
+        return self.since <= position.revision
--- a/plantainyoke/catalogue/tests/test_catalogue.py
+++ b/plantainyoke/catalogue/tests/test_catalogue.py
@@ -13,7 +13,8 @@
     StoreUpdate,
     Target,
 )
-from plantainyoke.catalogue._change_builder import OUTAGE_S, RETURN_GRACE_S
+from plantainyoke.catalogue._change_builder import OUTAGE_S
+from plantainyoke.catalogue._retention import RETURN_GRACE_S
 
 
 def _target(name, *, host=1, service="orders", **fields):
@@ -55,6 +56,7 @@
 
     def test_change_of_an_earlier_epoch_is_ignored(self):
         catalogue = Catalogue()
+        catalogue.apply(CatalogueChange(0, 19, epoch=1), 0.0)
         catalogue.apply(CatalogueChange(0, 14, epoch=2), 0.0)
         late = CatalogueChange(0, 20, targets=(_target("x"),), epoch=1)
         assert not catalogue.apply(late, 0.0)
@@ -93,7 +95,8 @@
 
     def test_change_has_only_changed_routes_and_services(self):
         routes = [Route(f"r{n}", n, 443, (RouteShare("x", 1),)) for n in range(100)]
-        change_builder, catalogue = ChangeBuilder(), Catalogue()
+        catalogue = Catalogue()
+        change_builder = ChangeBuilder(catalogue)
         services = {f"s{n}": ServiceLimits(2000, 2.0, 0.0) for n in range(100)}
         first_configuration = RouteConfiguration(5, tuple(routes), services)
         first = change_builder.build_change(
@@ -131,109 +134,165 @@
             ),
             0.0,
         )
-        copy.apply(catalogue.snapshot(), 0.0)
+        copy.apply(catalogue.snapshot(0.0), 0.0)
         assert copy.routes == catalogue.routes
         assert copy.targets_by_service == catalogue.targets_by_service
 
 
-class TestChangeBuilder:
-    def test_update_without_changes_returns_none(self):
-        change_builder = ChangeBuilder()
-        first = StoreUpdate(1, True, RouteConfiguration(1), {"x": _target("x")})
-        assert change_builder.build_change(first, 0.0) is not None
-        assert change_builder.build_change(StoreUpdate(2, False), 1.0) is None
-
-    def test_change_builds_on_the_last_change_not_on_the_last_update(self):
-        change_builder = ChangeBuilder()
-        change_builder.build_change(StoreUpdate(1, True, RouteConfiguration(1)), 0.0)
-        change_builder.build_change(StoreUpdate(2, False), 0.5)
-        change = change_builder.build_change(
-            StoreUpdate(3, False, None, {"x": _target("x")}), 1.0
-        )
-        assert (change.since, change.revision) == (1, 3)
+class Reader:
+    """A catalogue that follows the answers of a store."""
 
-    def test_first_answer_of_an_epoch_gives_a_complete_change(self):
-        change_builder = ChangeBuilder()
-        configuration = RouteConfiguration(11)
-        before = StoreUpdate(15, True, configuration, {"x": _target("x")}, epoch=1)
-        change_builder.build_change(before, 0.0)
-        restored = StoreUpdate(14, True, configuration, {"x": _target("x")}, epoch=2)
-        change = change_builder.build_change(restored, 1.0)
-        assert (change.since, change.epoch, change.revision) == (0, 2, 14)
-        assert change.targets == (_target("x"),)
-        assert change.zones_out == ()
+    def __init__(self, *targets: Target, epoch: int = 0, at: float = 100.0) -> None:
+        self.catalogue = Catalogue()
+        self.change_builder = ChangeBuilder(self.catalogue)
+        self.epoch = epoch
+        self.read(1, at, *targets, is_snapshot=True)
 
-    def test_target_is_removed_at_once_if_there_was_no_outage(self):
-        change_builder = ChangeBuilder()
-        change_builder.build_change(
-            StoreUpdate(1, True, None, {"x": _target("x")}), 100.0
+    def read(
+        self, revision: int, now: float, *targets: Target, is_snapshot=False, **contents
+    ) -> CatalogueChange | None:
+        """Apply an answer of the store and return the change that it led to."""
+        update = StoreUpdate(
+            revision,
+            is_snapshot,
+            targets={target.name: target for target in targets},
+            epoch=self.epoch,
+            **contents,
         )
-        change_builder.build_change(StoreUpdate(2, False), 101.0)
-        change_builder.build_change(StoreUpdate(3, False), 102.5)
-        change = change_builder.build_change(
-            StoreUpdate(4, False, removed={"x"}), 104.0
-        )
-        assert change.removed == ("x",)
+        change = self.change_builder.build_change(update, now)
+        if change is not None:
+            self.catalogue.apply(change, now)
+        return change
 
-    def test_entry_lapsed_in_an_outage_is_kept_until_its_target_renews_it(self):
-        change_builder = ChangeBuilder()
-        change_builder.build_change(
-            StoreUpdate(1, True, None, {"x": _target("x")}), 100.0
-        )
-        returned_at = 100.0 + OUTAGE_S + 5.0
-        assert (
-            change_builder.build_change(
-                StoreUpdate(9, False, removed={"x"}), returned_at
-            )
-            is None
-        )
-        renewed = StoreUpdate(10, False, None, {"x": _target("x")})
-        assert change_builder.build_change(renewed, returned_at + 1.0) is None
-        assert (
-            change_builder.build_change(StoreUpdate(11, False), returned_at + 5.0)
-            is None
-        )
+    def list_names(self) -> set[str]:
+        return set(self.catalogue.targets)
 
-    def test_target_not_renewed_after_an_outage_is_removed(self):
-        change_builder = ChangeBuilder()
-        change_builder.build_change(
-            StoreUpdate(1, True, None, {"x": _target("x")}), 100.0
-        )
-        returned_at = 100.0 + OUTAGE_S + 5.0
-        change_builder.build_change(StoreUpdate(9, False, removed={"x"}), returned_at)
-        change = change_builder.build_change(
-            StoreUpdate(10, False), returned_at + RETURN_GRACE_S + 0.1
-        )
-        assert change.removed == ("x",)
+
+class TestChangeBuilder:
+    def test_answer_at_the_position_that_is_reached_returns_none(self):
+        reader = Reader(_target("x"))
+        assert reader.list_names() == {"x"}
+        assert reader.read(1, 101.0) is None
+
+    def test_answer_without_usable_entries_raises_the_position_only(self):
+        # The reader would otherwise be given the same entries again and again.
+        reader = Reader(_target("x"))
+        change = reader.read(2, 101.0)
+        assert (change.since, change.revision) == (1, 2)
+        assert not change.targets and not change.removed
+        assert reader.catalogue.revision == 2
+
+    def test_change_builds_on_the_position_of_the_catalogue(self):
+        reader = Reader()
+        reader.catalogue.apply(CatalogueChange(1, 2, targets=(_target("y"),)), 100.5)
+        change = reader.read(3, 101.0, _target("x"))
+        assert (change.since, change.revision) == (2, 3)
+
+    def test_entry_that_was_written_and_deleted_is_removed_from_subscribers(self):
+        # The subscriber followed another reader, which read in between.
+        reader, subscriber = Reader(), Catalogue()
+        subscriber.apply(CatalogueChange(0, 2, targets=(_target("x"),)), 100.0)
+        for now in (101.5, 103.0):
+            reader.read(1, now)
+        subscriber.apply(reader.read(3, 104.0, removed={"x"}), 104.0)
+        assert (subscriber.revision, subscriber.targets) == (3, {})
+
+    def test_difference_to_a_snapshot_applies_at_one_revision_only(self):
+        # It does not tell what was written and deleted after that revision.
+        reader, subscriber = Reader(), Catalogue()
+        subscriber.apply(CatalogueChange(0, 2, targets=(_target("x"),)), 100.0)
+        change = reader.read(3, 101.0, is_snapshot=True)
+        assert not subscriber.apply(change, 101.0)
+        assert reader.catalogue.revision == 3
+
+    def test_change_that_the_catalogue_ignored_is_built_again(self):
+        # A listing has the revision of its first page; a later page may be newer.
+        reader = Reader()
+        reader.read(1, 100.5, _target("x"), is_snapshot=True)
+        assert not reader.list_names()
+        reader.read(2, 101.0, _target("x"))
+        assert reader.list_names() == {"x"}
+
+    def test_first_answer_of_an_epoch_gives_a_complete_change(self):
+        reader = Reader(_target("x"), epoch=1)
+        reader.epoch = 2
+        change = reader.read(1, 101.0, _target("x"), is_snapshot=True)
+        assert (change.since, change.epoch, change.revision) == (0, 2, 1)
+        assert change.targets == (_target("x"),)
+        assert change.zones_out == ()
 
     def test_zone_is_taken_out_and_restored(self):
-        change_builder = ChangeBuilder()
-        change_builder.build_change(StoreUpdate(1, True), 0.0)
-        assert change_builder.build_change(
-            StoreUpdate(2, False, zones_out={"a"}), 1.0
-        ).zones_out == ("a",)
-        assert (
-            change_builder.build_change(
-                StoreUpdate(3, False, zones_restored={"a"}), 2.0
-            ).zones_out
-            == ()
-        )
+        reader = Reader()
+        assert reader.read(2, 101.0, zones_out={"a"}).zones_out == ("a",)
+        assert reader.catalogue.zones_out == {"a"}
+        assert reader.read(3, 102.0, zones_restored={"a"}).zones_out == ()
+        assert not reader.catalogue.zones_out
 
     @given(st.lists(st.tuples(st.sampled_from("xyz"), st.booleans()), max_size=20))
     def test_subscriber_has_the_same_targets_as_the_reader(self, steps):
-        change_builder, reader, subscriber = ChangeBuilder(), Catalogue(), Catalogue()
-        for number, (name, exists) in enumerate(steps, start=1):
+        reader, subscriber = Reader(at=100.0), Catalogue()
+        for number, (name, exists) in enumerate(steps, start=2):
             now = 100.0 + number
-            update = StoreUpdate(number, number == 1)
             if exists:
-                update.targets[name] = msgspec.structs.replace(
+                target = msgspec.structs.replace(
                     _target(name), draining=number % 2 == 0
                 )
+                change = reader.read(number, now, target)
             else:
-                update.removed.add(name)
-            change = change_builder.build_change(update, now)
-            if change is not None:
-                reader.apply(change, now)
-                if number % 3 or not subscriber.apply(change, now):
-                    subscriber.apply(reader.snapshot(), now)
-        assert subscriber.targets == reader.targets or subscriber.revision == 0
+                change = reader.read(number, now, removed={name})
+            if change is not None and (number % 3 or not subscriber.apply(change, now)):
+                subscriber.apply(reader.catalogue.snapshot(now), now)
+        assert (
+            subscriber.targets == reader.catalogue.targets or subscriber.revision == 0
+        )
+
+
+class TestLapsedEntries:
+    """Entries lapse while the store is unreachable, though their targets serve."""
+
+    returned_at = 100.0 + OUTAGE_S + 5.0
+
+    def test_target_is_removed_at_once_if_there_was_no_outage(self):
+        reader = Reader(_target("x"))
+        reader.read(2, 101.0)
+        reader.read(3, 102.5)
+        assert reader.read(4, 104.0, removed={"x"}).removed == ("x",)
+        assert not reader.list_names()
+
+    def test_entry_is_kept_until_its_target_renews_it(self):
+        reader = Reader(_target("x"))
+        reader.read(9, self.returned_at, removed={"x"})
+        assert reader.list_names() == {"x"}
+        assert reader.catalogue.confirm(self.returned_at + 1.0) is None
+        reader.read(10, self.returned_at + 1.0, _target("x"))
+        assert reader.list_names() == {"x"}
+        assert reader.catalogue.confirm(self.returned_at + 5.0) is None
+        reader.read(11, self.returned_at + 5.0)
+        assert reader.list_names() == {"x"}
+
+    def test_target_that_does_not_renew_its_entry_is_removed(self):
+        reader = Reader(_target("x"))
+        reader.read(9, self.returned_at, removed={"x"})
+        late = self.returned_at + RETURN_GRACE_S + 0.1
+        assert reader.catalogue.confirm(late).removed == ("x",)
+        assert not reader.list_names()
+
+    def test_target_is_removed_even_if_the_store_has_no_further_revision(self):
+        # The removal came at a revision that had been applied, and was ignored.
+        reader = Reader(_target("x"), _target("y", host=2))
+        renewed = _target("y", host=2, draining=True)
+        reader.read(9, self.returned_at, renewed, removed={"x"})
+        assert reader.list_names() == {"x", "y"}
+        late = self.returned_at + RETURN_GRACE_S + 0.1
+        reader.read(9, late)
+        reader.catalogue.confirm(late)
+        assert reader.list_names() == {"y"}
+
+    def test_process_that_starts_meanwhile_keeps_it_for_the_same_time(self):
+        reader, started = Reader(_target("x")), Catalogue()
+        reader.read(9, self.returned_at, removed={"x"})
+        now = self.returned_at + 1.0
+        started.apply(reader.catalogue.snapshot(now), now)
+        assert set(started.targets) == {"x"}
+        started.confirm(self.returned_at + RETURN_GRACE_S + 0.1)
+        assert not started.targets
--- a/plantainyoke/catalogue/tests/test_follower.py
+++ b/plantainyoke/catalogue/tests/test_follower.py
@@ -6,6 +6,7 @@
 from plantainyoke.catalogue import (
     Catalogue,
     CatalogueFollower,
+    Position,
     RouteConfiguration,
     StoreUpdate,
     Target,
@@ -28,6 +29,7 @@
     """Publishes targets and a configuration, and answers each reader's watch."""
 
     def __init__(self) -> None:
+        self.epoch = 1
         self.revision = 1
         self.version = 1
         self.targets: dict[str, Target] = {}
@@ -43,16 +45,21 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def make_reader(self, host: int):
-        seen = 0
+    def restore(self, *, version: int) -> None:
+        """Go back to an older version; targets have written their entries again."""
+        self.epoch += 1
+        self.revision -= 1
+        self.version = version
+        self.changed.set()
+        self.changed = asyncio.Event()
 
-        async def read() -> StoreUpdate:
-            nonlocal seen
+    def make_reader(self, host: int):
+        async def read(after: Position) -> StoreUpdate:
             self.calls[host] = self.calls.get(host, 0) + 1
             if host in self.refused:
                 raise StoreDownError
             await asyncio.sleep(self.delay_s)
-            if seen == self.revision:
+            if after == (self.epoch, self.revision):
                 try:
                     async with asyncio.timeout(WATCH_S):
                         await self.changed.wait()
@@ -60,12 +67,12 @@
                     pass
             if host in self.refused:
                 raise StoreDownError
-            is_snapshot, seen = not seen, self.revision
             return StoreUpdate(
                 self.revision,
-                is_snapshot,
+                not after.revision or after.epoch != self.epoch,
                 RouteConfiguration(self.version),
                 dict(self.targets),
+                epoch=self.epoch,
             )
 
         return read
@@ -251,6 +258,20 @@
 
         run_fleet(6, scenario)
 
+    def test_change_reaches_every_process_after_the_store_was_restored(self, run_fleet):
+        async def scenario(fleet):
+            await fleet.start()
+            fleet.store.publish(version=7)
+            await asyncio.sleep(1.0)
+            fleet.store.restore(version=5)
+            await asyncio.sleep(PROPAGATION_LIMIT_S)
+            assert fleet.list_versions() == {7}
+            fleet.store.publish(version=9)
+            await asyncio.sleep(PROPAGATION_LIMIT_S)
+            assert fleet.list_versions() == {9}
+
+        run_fleet(6, scenario)
+
     def test_calls_are_limited_while_the_store_fails(self, run_fleet):
         async def scenario(fleet):
             await fleet.start()
--- a/plantainyoke/catalogue/tests/test_links.py
+++ b/plantainyoke/catalogue/tests/test_links.py
@@ -2,11 +2,18 @@
 
 import pytest
 
-from plantainyoke.catalogue import Catalogue, CatalogueChange, Target, _subscription
+from plantainyoke.catalogue import (
+    Catalogue,
+    CatalogueChange,
+    RouteConfiguration,
+    Target,
+    _subscription,
+)
 from plantainyoke.catalogue._subscription import (
     MAX_RECENT_CHANGES,
     CatalogueServer,
     LinkError,
+    Subscribe,
     open_subscription,
     read_frame,
 )
@@ -15,7 +22,7 @@
 from plantainyoke.telemetry import Metrics
 
 PORT = 9_500
-START = Position(0, 0)
+START = Subscribe()
 
 
 class Source:
@@ -39,7 +46,7 @@
     ) -> list[CatalogueChange | None]:
         """Return the changes in the first frames of a new subscription."""
         reader, writer = await open_subscription(
-            self.address, Position(epoch, known_revision)
+            self.address, Subscribe(epoch, known_revision)
         )
         frames = [await read_frame(reader) for _ in range(count)]
         writer.close()
@@ -122,7 +129,7 @@
     def test_subscriber_receives_each_new_change(self, run_scenario):
         async def scenario(source):
             source.add_targets(2)
-            reader, writer = await open_subscription(source.address, Position(0, 2))
+            reader, writer = await open_subscription(source.address, Subscribe(0, 2))
             assert (await read_frame(reader)).change is None
             source.add_targets()
             async with asyncio.timeout(1):
@@ -134,6 +141,28 @@
         run_scenario(scenario)
 
 
+class TestConfigurationVersions:
+    def test_subscriber_with_another_version_receives_a_snapshot(self, run_scenario):
+        # Its earlier source had read an intermediate version. It was sent the change
+        # that it could not apply until its view was stale.
+        async def scenario(source):
+            source.add_targets()
+            change = CatalogueChange(1, 4, RouteConfiguration(9), version_since=0)
+            source.catalogue.apply(change, 0.0)
+            source.server.publish(change)
+            change = CatalogueChange(4, 5, RouteConfiguration(11), version_since=9)
+            source.catalogue.apply(change, 0.0)
+            source.server.publish(change)
+            reader, writer = await open_subscription(
+                source.address, Subscribe(0, 4, version=10)
+            )
+            change = (await read_frame(reader)).change
+            assert (change.since, change.configuration.version) == (0, 11)
+            writer.close()
+
+        run_scenario(scenario)
+
+
 class TestRestoredStore:
     def test_subscriber_of_an_earlier_epoch_receives_a_snapshot(self, run_scenario):
         # It is ahead by the number of its revision only.
@@ -150,7 +179,7 @@
     def test_subscriber_receives_the_first_change_of_an_epoch(self, run_scenario):
         async def scenario(source):
             source.add_targets(5)
-            reader, writer = await open_subscription(source.address, Position(0, 5))
+            reader, writer = await open_subscription(source.address, Subscribe(0, 5))
             assert (await read_frame(reader)).change is None
             restored = CatalogueChange(0, 3, targets=(), zones_out=(), epoch=1)
             source.catalogue.apply(restored, 0.0)
--- a/plantainyoke/packet_node/_node.py
+++ b/plantainyoke/packet_node/_node.py
@@ -12,7 +12,12 @@
 
 import msgspec
 
-from plantainyoke.catalogue import Catalogue, CatalogueFollower, StoreUpdate
+from plantainyoke.catalogue import (
+    Catalogue,
+    CatalogueFollower,
+    Position,
+    StoreUpdate,
+)
 from plantainyoke.flows import (
     FlowFormatError,
     FlowKey,
@@ -56,8 +61,8 @@
 
     calls: int
 
-    async def read(self) -> StoreUpdate:
-        """Return the changes since the last call."""
+    async def read(self, after: Position) -> StoreUpdate:
+        """Return what was written after a position, or a snapshot."""
 
     def close(self) -> None:
         """Close the connection."""
@@ -154,6 +159,7 @@
             metrics=self.metrics,
             jitter=draw_jitter,
         )
+        self.exit_stack.callback(self.follower.close)
         await self.follower.server.listen(link_address, self.exit_stack)
         server = HttpServer(handlers, self.metrics)
         await server.listen(settings.ready_address, self.exit_stack)
--- a/plantainyoke/platform/_reader.py
+++ b/plantainyoke/platform/_reader.py
@@ -4,7 +4,7 @@
 snapshot, then as changes. A malformed entry is logged and does not stop the reading.
 """
 
-from plantainyoke.catalogue import StoreUpdate
+from plantainyoke.catalogue import Position, StoreUpdate
 from plantainyoke.network import Address
 from plantainyoke.platform._entries import (
     CONFIGURATION_KEY,
@@ -28,7 +28,7 @@
 
 
 class PlatformReader:
-    """Reads all entries of the store, then the changes after the last revision.
+    """Reads all entries of the store, or the changes after a position.
 
     Parameters
     ----------
@@ -38,14 +38,10 @@
     Attributes
     ----------
     store : StoreClient
-    epoch, revision : int
-        Position after which the next call reads changes; 0 before the first call.
     """
 
     def __init__(self, address: Address) -> None:
         self.store = StoreClient(address)
-        self.epoch = 0
-        self.revision = 0
 
     @property
     def calls(self) -> int:
@@ -56,12 +52,16 @@
         """Close the connection to the store."""
         self.store.close()
 
-    async def read(self) -> StoreUpdate:
-        """Return the changes since the last call, or a snapshot.
+    async def read(self, after: Position) -> StoreUpdate:
+        """Return what was written after a position, or a snapshot.
 
-        The first call returns a snapshot. So does a call after the store discarded
-        the history since the last revision, or was restored from a copy: revisions
-        are then given out again, and a watch may miss changes without an error.
+        The answer is a snapshot if the position has the revision 0, if the store
+        discarded the history since, or if it was restored from a copy: revisions are
+        then given out again, and a watch may miss changes without an error.
+
+        Parameters
+        ----------
+        after : Position
 
         Returns
         -------
@@ -72,33 +72,33 @@
         StoreUnavailableError
             If the store does not answer in time, or answers with an error.
         """
-        if self.revision:
+        if after.revision:
             try:
-                changed = await self.store.watch(ALL_KEYS, self.revision, WATCH_WAIT_S)
-                if changed.epoch == self.epoch:
-                    return self._translate(changed, is_snapshot=False)
+                changed = await self.store.watch(ALL_KEYS, after.revision, WATCH_WAIT_S)
+                if changed.epoch == after.epoch:
+                    return _translate(changed, is_snapshot=False)
             except HistoryGoneError:
-                log_event("store_history_gone", revision=self.revision)
+                log_event("store_history_gone", revision=after.revision)
         listed = await self.store.list(ALL_KEYS)
-        if self.revision and listed.epoch != self.epoch:
+        if after.revision and listed.epoch != after.epoch:
             log_event(
                 "store_restored",
                 epoch=listed.epoch,
                 revision=listed.revision,
-                known_epoch=self.epoch,
-                known_revision=self.revision,
+                known_epoch=after.epoch,
+                known_revision=after.revision,
             )
-        return self._translate(listed, is_snapshot=True)
+        return _translate(listed, is_snapshot=True)
 
-    def _translate(self, listing: Listing, *, is_snapshot: bool) -> StoreUpdate:
-        self.epoch, self.revision = listing.epoch, listing.revision
-        update = StoreUpdate(listing.revision, is_snapshot, epoch=listing.epoch)
-        for item in listing.items:
-            try:
-                _apply_item(item, update)
-            except EntryError as error:
-                log_event("entry_unusable", key=item.key, error=str(error))
-        return update
+
+def _translate(listing: Listing, *, is_snapshot: bool) -> StoreUpdate:
+    update = StoreUpdate(listing.revision, is_snapshot, epoch=listing.epoch)
+    for item in listing.items:
+        try:
+            _apply_item(item, update)
+        except EntryError as error:
+            log_event("entry_unusable", key=item.key, error=str(error))
+    return update
 
 
 def _apply_item(item: Item, update: StoreUpdate) -> None:
--- a/plantainyoke/standins/_packet_fleet.py
+++ b/plantainyoke/standins/_packet_fleet.py
@@ -62,6 +62,8 @@
         Lowest revision from which changes can be watched.
     items : dict of str to dict
         Current item of each key.
+    written : dict of str to bytes
+        What the writers last wrote, also if a restoration has lost it.
     changes : list of dict
         Changes after `oldest_revision`, as a watch returns them.
     calls : int
@@ -70,6 +72,10 @@
         answered).
     epoch : int
         Stated in every answer; rises when the store is restored from a copy.
+    page_size : int
+        Items in an answer at most.
+    before_call : callable
+        Called before each call is answered.
     """
 
     def __init__(self, ip: str) -> None:
@@ -77,11 +83,14 @@
         self.revision = 1
         self.oldest_revision = 0
         self.items: dict[str, dict] = {}
+        self.written: dict[str, bytes] = {}
         self.changes: list[dict] = []
         self.changed = asyncio.Event()
         self.calls = 0
         self.mode = "up"
         self.epoch = 1
+        self.page_size = 500
+        self.before_call: Callable[[], None] = lambda: None
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Serve until the stack closes."""
@@ -100,6 +109,7 @@
 
     def put_bytes(self, key: str, content: bytes) -> None:
         """Write a key with raw content, which need not be JSON."""
+        self.written[key] = content
         self.revision += 1
         value = base64.b64encode(content).decode()
         item = {"key": key, "value": value, "revision": self.revision}
@@ -108,6 +118,7 @@
 
     def delete(self, key: str) -> None:
         """Remove a key."""
+        self.written.pop(key, None)
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self._record({"key": key, "revision": self.revision, "deleted": True})
@@ -136,6 +147,15 @@
         ]
         self._notify()
 
+    def write_again(self) -> None:
+        """Write and delete again what a restoration has lost."""
+        for key in self.items.keys() - self.written:
+            self.delete(key)
+        for key, content in self.written.items():
+            item = self.items.get(key)
+            if item is None or base64.b64decode(item["value"]) != content:
+                self.put_bytes(key, content)
+
     async def _state_epoch(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
@@ -151,6 +171,7 @@
 
     async def _apply_mode(self) -> web.Response | None:
         self.calls += 1
+        self.before_call()
         if self.mode == "silent":
             await asyncio.sleep(3600)
         return web.Response(status=503) if self.mode == "busy" else None
@@ -159,11 +180,18 @@
         failure = await self._apply_mode()
         if failure is not None:
             return failure
-        prefix = request.query["prefix"]
-        items = [item for key, item in self.items.items() if key.startswith(prefix)]
-        return web.json_response(
-            {"items": items, "hasMore": False, "currentRev": self.revision}
-        )
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        items = [
+            self.items[key]
+            for key in sorted(self.items)
+            if key.startswith(prefix) and key > after
+        ]
+        page = {
+            "items": items[: self.page_size],
+            "hasMore": len(items) > self.page_size,
+            "currentRev": self.revision,
+        }
+        return web.json_response(page)
 
     async def _watch(self, request: web.Request) -> web.Response:
         failure = await self._apply_mode()
--- a/plantainyoke/standins/_packet_simulation.py
+++ b/plantainyoke/standins/_packet_simulation.py
@@ -552,12 +552,12 @@
 
     def _new_catalogue(self) -> Catalogue:
         catalogue = Catalogue()
-        catalogue.apply(self.published.snapshot(), self.now)
+        catalogue.apply(self.published.snapshot(self.now), self.now)
         return catalogue
 
     def _apply(self, process: Process, change: CatalogueChange) -> None:
         if not process.catalogue.apply(change, self.now):
-            process.catalogue.apply(self.published.snapshot(), self.now)
+            process.catalogue.apply(self.published.snapshot(self.now), self.now)
 
     def _get_metrics(self, host: int) -> Metrics:
         return self.metrics.setdefault(host, Metrics())
--- a/plantainyoke/tests/_fault_run.py
+++ b/plantainyoke/tests/_fault_run.py
@@ -92,7 +92,8 @@
         for process in self.simulation.processes.values():
             process.is_subscribed = True
             process.catalogue.apply(
-                self.simulation.published.snapshot(), self.simulation.now
+                self.simulation.published.snapshot(self.simulation.now),
+                self.simulation.now,
             )
 
     def route_randomly(self, is_on) -> None:
--- a/plantainyoke/tests/test_packet_processes.py
+++ b/plantainyoke/tests/test_packet_processes.py
@@ -101,7 +101,7 @@
                 fleet.publish_shares(**shares)
                 await asyncio.sleep(0.3)
             fleet.store.restore(copy)
-            fleet.publish_shares(orders=3)
+            fleet.store.write_again()
             await asyncio.sleep(0.5)
             fleet.publish_shares(drawings=1)
             await asyncio.sleep(1.0)
@@ -112,6 +112,23 @@
 
         fleet(scenario, services={"orders": 2, "drawings": 2})
 
+    def test_flows_of_targets_that_the_copy_lacks_are_served(self, fleet):
+        async def scenario(fleet):
+            fleet.store.delete(f"servers/{fleet.hosts['agent-1'].entry}")
+            copy = fleet.store.take_copy()
+            fleet.publish_target("agent-1")
+            await asyncio.sleep(1.0)
+            callers = await _open_flows(fleet, 20)
+            fleet.store.restore(copy)
+            await asyncio.sleep(0.5)
+            await fleet.restart("balancer-0", signal.SIGKILL)
+            await fleet.wait_until_ready("balancer-0")
+            await _send_requests(fleet, callers)
+            fleet.store.write_again()
+            await _send_requests(fleet, callers)
+
+        fleet(scenario)
+
 
 class TestPrograms:
     def test_reload_keeps_the_process_and_its_flows(self, fleet):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -15,6 +15,7 @@
 DRAIN_DURATION_S = 3.0  # a target keeps serving this long once published as draining
 ADDRESS_REUSE_DELAY_S = 2.0  # before another service uses the address
 MAX_ENTRY_LAPSE_S = 1.5  # entries lost in a store outage are rewritten within 2 s
+MAX_COPY_AGE_S = 6.0  # spans several publications of a series
 MAX_TARGET_RESTART_S = 0.4  # a restarted target writes its entry within a heartbeat
 
 Fault = Callable[[SoakSite], Awaitable[None]]
@@ -179,6 +180,19 @@
             site.publish_target(name, state=state)
 
 
+async def restore_store(site: SoakSite) -> None:
+    """Restore the store from a copy that is some seconds old; writers write again."""
+    copy = site.store.take_copy()
+    await asyncio.sleep(_draw_duration_s(site, MAX_COPY_AGE_S))
+    site.store.mode = site.rng.choice(["up", "busy", "silent"])
+    await asyncio.sleep(_draw_duration_s(site, 1.5))
+    site.store.restore(copy)
+    site.network.reset_connections(site.rng.choice([0.0, 1.0]))
+    site.store.mode = "up"
+    await asyncio.sleep(site.rng.uniform(0, MAX_ENTRY_LAPSE_S))
+    site.store.write_again()
+
+
 async def discard_history(site: SoakSite) -> None:
     """Make the store discard its history of changes, three times."""
     for _ in range(3):
@@ -301,6 +315,7 @@
     silence_connections,
     refuse_at_store,
     lapse_entries,
+    restore_store,
     discard_history,
     write_nonsense,
     hurt_callers,
