Let a process that starts learn what a restored store has lost

In a test, processes that started between the restoration and the writing again had the copy's older configuration, while all others had the newer one; on a link they counted as ahead, and received nothing. Until operators and targets wrote again, their flows went by the old split, and targets that the copy lacks were unknown to them. Cause: a process that starts in the later epoch is ahead by its position, and behind in knowledge; the first of the ranking asks no other process at all. Fix: a subscriber states that it knows one epoch only. A process that starts asks one other process of the ranking, whatever its rank.

--- a/plantainyoke/catalogue/_catalogue.py
+++ b/plantainyoke/catalogue/_catalogue.py
@@ -73,6 +73,9 @@
         Time until which the view keeps what is unconfirmed.
     changes_applied : int
         Number of times that the view changed.
+    lacks_history : bool
+        Whether this process only knows the contents of the store of this epoch, and
+        none that an earlier one may have had beyond them.
     listeners : list of callable
         Called with each change after it was applied.
     """
@@ -96,6 +99,7 @@
         self.published_zones_out: frozenset[str] = frozenset()
         self.grace_until = float("-inf")
         self.changes_applied = 0
+        self.lacks_history = True
         self.listeners: list[Callable[[CatalogueChange], None]] = []
 
     @property
@@ -107,10 +111,11 @@
         """Apply a change and return whether it was applied.
 
         A change is ignored if it isn't newer, and refused as a whole if it builds on a
-        revision that isn't reached here, or on another configuration version.
+        revision that isn't reached here, or on another configuration version. A
+        snapshot of an earlier epoch may still have what the store has lost.
         """
         if change.position <= self.position:
-            return False
+            return self._learn(change, now)
         if not change.builds_on(self.position):
             return False
         received = change.configuration
@@ -122,10 +127,59 @@
             view_change = self._resolve_difference(change, now)
         else:
             view_change = self._resolve_snapshot(change, now)
+        if self.revision and change.epoch > self.epoch:
+            self.lacks_history = False
         self.epoch, self.revision = change.position
         self._apply_view(view_change, now)
         return True
 
+    def _learn(self, change: CatalogueChange, now: float) -> bool:
+        """Take over what the store has lost; return whether there was anything.
+
+        Load pattern: a process that starts right after the store was restored has only
+        the contents of the copy, while processes that ran before know what was written
+        later.
+
+        Parameters
+        ----------
+        change : CatalogueChange
+            Snapshot of an earlier epoch, or of this position.
+        now : float
+        """
+        is_earlier_epoch = change.epoch < self.epoch
+        if change.since or not (is_earlier_epoch or change.position == self.position):
+            return False
+        received = change.configuration
+        is_newer = received and received.version > self.configuration.version
+        if is_newer:
+            self._apply_configuration(received, change)
+        if self.lacks_history and (is_earlier_epoch or change.unconfirmed):
+            self.lacks_history = False
+            self._merge_knowledge(change, now)
+        elif is_newer:
+            self._apply_view(CatalogueChange(self.revision, self.revision), now)
+        else:
+            return False
+        return True
+
+    def _merge_knowledge(self, earlier: CatalogueChange, now: float) -> None:
+        """Keep for a while what another process knew before the restoration."""
+        known = {target.name: target for target in earlier.targets}
+        gone: set[str] = set()
+        zones = self.zones_out | frozenset(earlier.zones_out or ())
+        if earlier.position == self.position:
+            unconfirmed = earlier.unconfirmed.targets
+            gone = unconfirmed.keys() - known
+            known = {name: known[name] for name in unconfirmed.keys() & known}
+            zones = frozenset(earlier.zones_out or ())
+        published = {
+            name: self.get_published_target(name)
+            for name in self.targets.keys() | self.unconfirmed
+        }
+        view = merge_targets(known, self.targets, gone)
+        self.grace_until = max(self.grace_until, now + RETURN_GRACE_S)
+        self._apply_view(self._compare_view(view, published, zones), now)
+
     def _compare_view(
         self,
         view: dict[str, Target],
--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -83,6 +83,8 @@
         Whether the last call to the store failed.
     is_reader : bool
         Whether this process reads the store, by its rank and the age of its view.
+    has_asked_process : bool
+        Whether another process has answered since the start.
     loaded : asyncio.Event
         Set when the catalogue holds published state.
     first_read_done : asyncio.Event
@@ -121,6 +123,7 @@
         self.cached_ranking: list[int] = []
         self.cached_ranking_changes = -1
         self.source = 0
+        self.has_asked_process = False
         self.confirmation: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
         self.source_lost_at = self.loop.time()
@@ -346,11 +349,12 @@
         A process of the ranking follows only hosts ranked before it, so that processes
         never follow each other in a circle. While its calls to the store fail, it also
         tries the first hosts of the ranking. Unless its source is ranked before it, it
-        then reports a failed view and so is no source for others.
+        then reports a failed view and so is no source for others. A process that
+        starts does so too until one has answered: it may know what the store has lost.
         """
         ranking = self.get_ranking()
         sources = plan_sources(ranking, self.host)
-        if self.host in ranking and not self.is_failing:
+        if self.host in ranking and not self.is_failing and self.has_asked_process:
             return sources
         others = [host for host in ranking if host != self.host][:MAX_UNRANKED_SOURCES]
         return list(dict.fromkeys([*sources, *others]))
@@ -391,6 +395,7 @@
         return Subscribe(
             *catalogue.position,
             catalogue.configuration.version,
+            catalogue.lacks_history,
         )
 
     async def _receive_frames(
@@ -405,6 +410,7 @@
                 return "silent"
             except LinkError as error:
                 return str(error)
+            is_first, self.has_asked_process = not self.has_asked_process, True
             if frame.change is not None:
                 if not self._apply(frame.change, source=format_host(host)):
                     return "gap"
@@ -414,6 +420,8 @@
             # still be newer than this process's.
             if frame.age_ms / 1000 >= FAILED_AGE_S:
                 return "failing"
+            if is_first and host not in self._list_sources():
+                return "asked"
             if self.source != host:
                 log_event("source_found", source=format_host(host), age_ms=frame.age_ms)
                 self.source = host
--- a/plantainyoke/catalogue/_subscription.py
+++ b/plantainyoke/catalogue/_subscription.py
@@ -40,11 +40,14 @@
         Position that the subscriber has reached; it needs only changes after this one.
     version : int
         Configuration version that the subscriber has.
+    lacks_history : bool
+        Whether it needs what the store may have lost in a restoration.
     """
 
     epoch: int = 0
     revision: int = 0
     version: int = 0
+    lacks_history: bool = False
 
     @property
     def position(self) -> Position:
@@ -223,21 +226,37 @@
         A subscriber that cannot apply the recent changes receives a snapshot: it has
         another configuration version than these build on, since it followed another
         source before, or a position of an earlier epoch, of which the number of the
-        revision says nothing after a restoration of the store.
+        revision says nothing after a restoration of the store. So does a subscriber
+        that is ahead, but lacks what the store has lost.
         """
         catalogue = self.catalogue
         if not catalogue.revision:
             return []
         if catalogue.position <= known.position:
-            return []
+            return [catalogue.snapshot(now)] if self._knows_more(known) else []
         missing = [
             change for change in self.recent_changes if change.position > known.position
         ]
+        needs_all = known.lacks_history and self._keeps_lost_state()
         version = catalogue.configuration.version
-        if missing and _can_apply(missing, known, version):
+        if missing and not needs_all and _can_apply(missing, known, version):
             return missing
         return [catalogue.snapshot(now)]
 
+    def _knows_more(self, known: Subscribe) -> bool:
+        """Return whether a subscriber lacks something although it is not behind."""
+        catalogue = self.catalogue
+        is_earlier_epoch = catalogue.epoch < known.epoch
+        if not is_earlier_epoch and catalogue.position < known.position:
+            return False
+        if catalogue.configuration.version > known.version:
+            return True
+        return known.lacks_history and (is_earlier_epoch or self._keeps_lost_state())
+
+    def _keeps_lost_state(self) -> bool:
+        """Return whether the view has what the store lost in a restoration."""
+        return self.catalogue.is_unconfirmed and not self.catalogue.lacks_history
+
     def _write(self, writer: asyncio.StreamWriter, frame: CatalogueFrame) -> None:
         if writer.is_closing():
             raise LinkError("link is closed")
--- a/plantainyoke/catalogue/tests/test_follower.py
+++ b/plantainyoke/catalogue/tests/test_follower.py
@@ -11,7 +11,7 @@
     StoreUpdate,
     Target,
 )
-from plantainyoke.hashing import compute_zone_id
+from plantainyoke.hashing import compute_zone_id, rank_by_rendezvous
 from plantainyoke.network import format_host, parse_host
 from plantainyoke.telemetry import Metrics
 
@@ -272,6 +272,25 @@
 
         run_fleet(6, scenario)
 
+    def test_reader_that_starts_after_a_restoration_learns_the_lost_version(
+        self, run_fleet
+    ):
+        # It reads the copy, and nobody is ranked before it.
+        async def scenario(fleet):
+            members = [host.to_bytes(4, "big") for host in fleet.hosts]
+            key = compute_zone_id(ZONE).to_bytes(4, "big")
+            first = int.from_bytes(rank_by_rendezvous(key, members)[0], "big")
+            await fleet.start(*[host for host in fleet.hosts if host != first])
+            fleet.store.publish(fleet.make_target(first), version=7)
+            await asyncio.sleep(PROPAGATION_LIMIT_S)
+            fleet.store.restore(version=5)
+            await fleet.start(first, targets=False)
+            await asyncio.sleep(PROPAGATION_LIMIT_S)
+            assert fleet.followers[first].get_rank() == 0
+            assert fleet.list_versions() == {7}
+
+        run_fleet(6, scenario)
+
     def test_calls_are_limited_while_the_store_fails(self, run_fleet):
         async def scenario(fleet):
             await fleet.start()
--- a/plantainyoke/catalogue/tests/test_restoration.py
+++ b/plantainyoke/catalogue/tests/test_restoration.py
@@ -132,6 +132,7 @@
         return Subscribe(
             *catalogue.position,
             catalogue.configuration.version,
+            catalogue.lacks_history,
         )
 
     def check_configuration(self) -> None:
@@ -246,6 +247,8 @@
 
 
 class TestRestoredStore:
+    # A version that is written again is no news to a source that has kept it.
+    @example([("publish",), ("read", 1), ("restore", 1), ("read", 0), ("read", 1)], 1)
     # A source did not see a target that a process knows from another reader.
     @example([("read", 2), ("start_target", "x"), ("read", 0), ("end_target", "x")], 2)
     # A source skipped a version that a process has from another reader.
@@ -368,3 +371,50 @@
         catalogue.confirm(self.late)
         assert set(catalogue.targets) == {"y"}
         assert catalogue.zones_out == {"b"}
+
+
+class TestProcessThatStartsAfterTheRestoration:
+    def test_it_learns_from_a_process_of_the_earlier_epoch(self):
+        started = Catalogue()
+        started.apply(
+            CatalogueChange(0, 1, RouteConfiguration(6), zones_out=(), epoch=2), 10.0
+        )
+        older = Catalogue()
+        older.apply(
+            CatalogueChange(
+                0,
+                9,
+                make_configuration(11),
+                targets=(_target("x"),),
+                zones_out=("a",),
+                epoch=1,
+            ),
+            0.0,
+        )
+        assert started.apply(older.snapshot(10.0), 10.0)
+        assert started.position == (2, 1)
+        assert started.configuration.version == 11
+        assert (set(started.targets), started.zones_out) == ({"x"}, {"a"})
+        started.confirm(10.0 + RETURN_GRACE_S + 0.1)
+        assert (started.targets, started.zones_out) == ({}, frozenset())
+        assert started.configuration.version == 11
+
+    def test_it_learns_once_only(self):
+        started = _make_catalogue(_target("y"))
+        older = CatalogueChange(0, 3, targets=(_target("x"),))
+        assert started.apply(older, 1.0)
+        assert not started.apply(CatalogueChange(0, 3, targets=(_target("z"),)), 1.0)
+        assert set(started.targets) == {"x", "y"}
+
+    def test_it_learns_what_another_process_keeps(self):
+        keeps = _restore(_make_catalogue(_target("x", draining=True), _target("y")))
+        started = Catalogue()
+        started.apply(CatalogueChange(0, 1, zones_out=(), epoch=2), 10.0)
+        assert started.apply(keeps.snapshot(10.0), 10.0)
+        assert started.targets == keeps.targets
+
+    def test_process_with_history_ignores_an_earlier_epoch(self):
+        catalogue = _restore(_make_catalogue(), at=100.0)
+        late = CatalogueChange(0, 8, targets=(_target("x"),), epoch=1)
+        assert not catalogue.apply(late, 100.0)
+        assert not catalogue.targets
--- a/plantainyoke/tests/test_packet_processes.py
+++ b/plantainyoke/tests/test_packet_processes.py
@@ -112,6 +112,24 @@
 
         fleet(scenario, services={"orders": 2, "drawings": 2})
 
+    def test_process_that_starts_before_it_is_written_again_has_no_older_version(
+        self, fleet
+    ):
+        async def scenario(fleet):
+            copy = fleet.store.take_copy()
+            fleet.publish_shares(drawings=1)
+            await asyncio.sleep(0.5)
+            fleet.store.restore(copy)
+            for name in fleet.hosts:
+                await fleet.restart(name, signal.SIGKILL)
+                await fleet.wait_until_ready(name)
+            await asyncio.sleep(0.5)
+            for name in fleet.hosts:
+                status = await asyncio.to_thread(_fetch, fleet, name, "/status")
+                assert json.loads(status)["version"] == fleet.version
+
+        fleet(scenario, services={"orders": 2, "drawings": 2})
+
     def test_flows_of_targets_that_the_copy_lacks_are_served(self, fleet):
         async def scenario(fleet):
             fleet.store.delete(f"servers/{fleet.hosts['agent-1'].entry}")
