--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -466,7 +466,8 @@
         if incarnation == self.incarnation:
             return
         age_s = unix_s - target.born_ms / 1000
-        if age_s < now - self.started_at + START_MARGIN_S:
+        # A negative age shows that the clock was set: it says nothing about the flows.
+        if 0 <= age_s < now - self.started_at + START_MARGIN_S:
             self.recovery_until = 0.0
         if self.incarnation is not None:
             self._schedule_resets(target, age_s)
--- a/plantainyoke/packet_agent/tests/test_finder.py
+++ b/plantainyoke/packet_agent/tests/test_finder.py
@@ -170,6 +170,25 @@
         simulation.advance(0.2)
         assert all(caller.last_answered for caller in callers)
 
+    def test_flows_of_a_target_whose_clock_was_ahead_are_not_denied(self):
+        # The soak (seed 103) restarted a target with a clock 5 s ahead, then its agent.
+        simulation = PacketSimulation({"orders": 6})
+        entries = simulation.published.targets.values()
+        ahead_ms = round((simulation.now + 5.0) * 1000)
+        simulation.publish(
+            targets=tuple(
+                msgspec.structs.replace(entry, born_ms=ahead_ms) for entry in entries
+            )
+        )
+        callers = [simulation.open_flow() for _ in range(20)]
+        simulation.advance(1.0)
+        simulation.restart(*simulation.processes)
+        for caller in callers:
+            caller.send_request()
+        simulation.advance(0.5)
+        assert [caller.reset_at for caller in callers] == [None] * len(callers)
+        assert all(caller.last_answered for caller in callers)
+
     def test_agent_that_starts_later_is_asked_again(self):
         # The caller's next packet would come 1.6 s after the last one.
         simulation = PacketSimulation({"orders": 6})
