--- a/plantainyoke/catalogue/tests/test_catalogue.py
+++ b/plantainyoke/catalogue/tests/test_catalogue.py
@@ -288,6 +288,17 @@
         reader.catalogue.confirm(late)
         assert reader.list_names() == {"y"}
 
+    def test_later_removals_do_not_prolong_it(self):
+        # A release removes a target every few seconds; each one is kept for a while.
+        reader = Reader(*(_target(f"x{n}", host=n) for n in range(5)))
+        now = self.returned_at
+        for number in range(5):
+            reader.read(9 + number, now, removed={f"x{number}"})
+            now += OUTAGE_S + 0.2
+            reader.catalogue.confirm(now)
+        reader.catalogue.confirm(now)
+        assert reader.list_names() <= {"x3", "x4"}
+
     def test_process_that_starts_meanwhile_keeps_it_for_the_same_time(self):
         reader, started = Reader(_target("x")), Catalogue()
         reader.read(9, self.returned_at, removed={"x"})
--- a/plantainyoke/node/tests/test_distribution.py
+++ b/plantainyoke/node/tests/test_distribution.py
@@ -76,6 +76,26 @@
 
         run_async(scenario())
 
+    def test_change_after_the_platform_was_restored_is_in_force_in_time(
+        self, run_async, network_prefix, tmp_path
+    ):
+        async def scenario():
+            async with EmbeddedFleet(
+                _build_plan(network_prefix, targets=3), tmp_path
+            ) as fleet:
+                copy = fleet.platform.published
+                await fleet.wait_for_generation(fleet.publish())
+                fleet.platform.publish(copy)
+                await asyncio.sleep(1.0)
+                assert {
+                    m.component.node.generation for m in fleet.members.values()
+                } == {2}
+                await fleet.wait_for_generation(
+                    fleet.publish(), timeout_s=IN_FORCE_TIMEOUT_S
+                )
+
+        run_async(scenario())
+
     def test_zone_out_is_learnt_from_peers_while_the_platform_is_down(
         self, run_async, network_prefix, tmp_path
     ):
