--- a/plantainyoke/tests/test_operations.py
+++ b/plantainyoke/tests/test_operations.py
@@ -8,12 +8,14 @@
 from plantainyoke.flows import format_flow
 
 
-def _find_log_lines(fleet, flow: str, event: str) -> list[dict[str, str]]:
+def _find_log_lines(
+    fleet, flow: str, event: str, *, key: str = "flow="
+) -> list[dict[str, str]]:
     """Return the fields of a flow's log lines of one event, each with its host."""
     found = []
     for name in fleet.hosts:
         for line in fleet.read_log(name).splitlines():
-            if f" event={event} " in line and f"flow={flow}" in line:
+            if f" event={event} " in line and f"{key}{flow}" in line:
                 fields = dict(re.findall(r'(\w+)=("[^"]*"|\S+)', line))
                 found.append({**fields, "host": name})
     return found
@@ -50,6 +52,28 @@
         fleet(scenario)
 
 
+class TestOlderConfiguration:
+    def test_log_leads_from_a_flow_to_the_restoration_of_the_store(self, fleet):
+        async def scenario(fleet):
+            copy = fleet.store.take_copy()
+            fleet.publish_shares(orders=2)
+            await asyncio.sleep(0.5)
+            fleet.store.restore(copy)
+            await asyncio.sleep(0.5)
+            caller = fleet.open_flow()
+            await wait_until(lambda: caller.is_open)
+            (placed,) = _find_log_lines(fleet, format_flow(caller.flow), "open_placed")
+            assert placed["version"] == str(fleet.version)
+            changes = _find_log_lines(fleet, "", "catalogue_changed", key="")
+            view = [line for line in changes if line["host"] == placed["host"]][-1]
+            assert (view["epoch"], view["version"]) == ("2", placed["version"])
+            restorations = _find_log_lines(fleet, "", "store_restored", key="")
+            assert {line["epoch"] for line in restorations} == {"2"}
+            assert {line["known_epoch"] for line in restorations} == {"1"}
+
+        fleet(scenario)
+
+
 class TestResetOfAnOpenFlow:
     def test_log_names_the_target_that_lost_the_flow(self, fleet):
         async def scenario(fleet):
