Stop asking processes that do not answer after the start

What callers saw: nothing; found by reading the diff. The first of a ranking whose other hosts are down tried to reach them three times a second for as long as it ran, with a log line each. Evidence: test_first_reader_stops_asking_processes_that_do_not_answer. Fix: a process asks for five seconds after its start, as long as processes that start with it need.

--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -41,6 +41,7 @@
 FIRST_READ_TIMEOUT_S = 0.3
 ANY_ZONE = 0  # key that ranks hosts if the process's zone has no targets
 PREFERRED_RETRY_S = 5.0  # time on a fallback source before the preferred is retried
+ASK_TIMEOUT_S = 5.0  # longer than processes that start at the same time need
 MIN_BACKOFF_S = 0.4  # delay after a first failed call to the store
 MAX_BACKOFF_S = 2.0
 
@@ -85,6 +86,8 @@
         Whether this process reads the store, by its rank and the age of its view.
     has_asked_process : bool
         Whether another process has answered since the start.
+    ask_until : float
+        Loop time until which it asks processes of any rank for an answer.
     loaded : asyncio.Event
         Set when the catalogue holds published state.
     first_read_done : asyncio.Event
@@ -123,9 +126,10 @@
         self.cached_ranking: list[int] = []
         self.cached_ranking_changes = -1
         self.source = 0
-        self.has_asked_process = False
         self.confirmation: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
+        self.has_asked_process = False
+        self.ask_until = self.loop.time() + ASK_TIMEOUT_S
         self.source_lost_at = self.loop.time()
 
     def age_s(self) -> float:
@@ -353,7 +357,8 @@
         """
         ranking = self.get_ranking()
         sources = plan_sources(ranking, self.host)
-        if self.host in ranking and not self.is_failing and self.has_asked_process:
+        is_asking = not self.has_asked_process and self.loop.time() < self.ask_until
+        if self.host in ranking and not self.is_failing and not is_asking:
             return sources
         others = [host for host in ranking if host != self.host][:MAX_UNRANKED_SOURCES]
         return list(dict.fromkeys([*sources, *others]))
--- a/plantainyoke/catalogue/tests/test_follower.py
+++ b/plantainyoke/catalogue/tests/test_follower.py
@@ -10,6 +10,7 @@
     RouteConfiguration,
     StoreUpdate,
     Target,
+    _follower,
 )
 from plantainyoke.hashing import compute_zone_id, rank_by_rendezvous
 from plantainyoke.network import format_host, parse_host
@@ -291,6 +292,22 @@
 
         run_fleet(6, scenario)
 
+    def test_first_reader_stops_asking_processes_that_do_not_answer(
+        self, run_fleet, monkeypatch
+    ):
+        monkeypatch.setattr(_follower, "ASK_TIMEOUT_S", 0.5)
+
+        async def scenario(fleet):
+            await fleet.start(fleet.hosts[0])
+            fleet.store.publish(fleet.make_target(fleet.hosts[1]))
+            follower = fleet.followers[fleet.hosts[0]]
+            follower.get_ranking = lambda: fleet.hosts
+            assert follower._list_sources() == fleet.hosts[1:]
+            await asyncio.sleep(0.6)
+            assert follower._list_sources() == []
+
+        run_fleet(2, scenario)
+
     def test_calls_are_limited_while_the_store_fails(self, run_fleet):
         async def scenario(fleet):
             await fleet.start()
