Reset no flows for a target that seems to start in the future

Cause: a target had been restarted with a clock 5 s ahead, and its entry reached the agent seconds later, since the store was unreachable. The age was negative, so the floor of two heartbeats counted as the age, and flows opened on the new incarnation before that were taken for flows of the earlier one. Fix: with a negative age nothing is reset ahead; what the target lost is reset when it returns the callers' next packets.

--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -467,9 +467,10 @@
             return
         age_s = unix_s - target.born_ms / 1000
         # A negative age shows that the clock was set: it says nothing about the flows.
+        # Those that the target lost are reset when it returns their next packets.
         if 0 <= age_s < now - self.started_at + START_MARGIN_S:
             self.recovery_until = 0.0
-        if self.incarnation is not None:
+        if self.incarnation is not None and age_s >= 0:
             self._schedule_resets(target, age_s)
         self.incarnation = incarnation
 
--- a/plantainyoke/tests/test_packet_flows.py
+++ b/plantainyoke/tests/test_packet_flows.py
@@ -310,6 +310,19 @@
         others = [caller for caller in (*callers, *fresh) if caller not in lost]
         assert [caller.reset_at for caller in others] == [None] * len(others)
 
+    def test_flows_are_kept_if_the_target_seems_to_start_in_the_future(self):
+        """The entry came late, and the target's clock is ahead (soak, seed 315)."""
+        simulation = PacketSimulation({"orders": 4})
+        simulation.targets[10].lose_flows()
+        born_ms = round((simulation.now + 5.0) * 1000)
+        callers = _open_flows(simulation, 20)
+        simulation.advance(3.0)
+        entry = simulation.targets[10].entry
+        simulation.publish(targets=(msgspec.structs.replace(entry, born_ms=born_ms),))
+        simulation.advance(0.5)
+        assert any(simulation.find_holder(caller) == 10 for caller in callers)
+        assert [caller.reset_at for caller in callers] == [None] * len(callers)
+
     def test_flow_without_a_holder_is_reset_within_a_round_trip(self):
         simulation = PacketSimulation({"orders": 6})
         callers = _open_flows(simulation, 20)
