--- a/plantainyoke/standins/__init__.py
+++ b/plantainyoke/standins/__init__.py
@@ -11,12 +11,9 @@
 from plantainyoke.standins._loopback import NoFreeNetworkError, reserve_network
 from plantainyoke.standins._packet_fleet import (
     COLD_START_S,
-    STORE_PORT,
-    FakeStore,
     LoopbackHost,
     PacketFleet,
     PacketFleetPlan,
-    StoreCopy,
 )
 from plantainyoke.standins._packet_simulation import (
     FakeCaller,
@@ -25,6 +22,7 @@
     write_packet,
 )
 from plantainyoke.standins._platform import FakePlatform
+from plantainyoke.standins._store import STORE_PORT, FakeStore, StoreCopy
 from plantainyoke.standins._upstream import FakeUpstream, UpstreamOptions
 
 __all__ = [
