Split steering and delivery by subject, and add the interfaces for hard load

Change: the balancer's flow cache, placement, holder inquiry and sending are modules of their own, and so are the agent's observation of its target and its incarnations. Settings have a checked [features] table, routes know whether their requests may be repeated, and FlowRefusal has FAILING. None of these is used yet, so that no decision changes.

--- a/plantainyoke/catalogue/_types.py
+++ b/plantainyoke/catalogue/_types.py
@@ -47,6 +47,8 @@
         Time after which callers give up a request, 0 if none is stated.
     priority : int
         Rank of the route's requests among those of other routes, 0 is the highest.
+    is_idempotent : bool
+        Whether callers may repeat the route's requests after any failure.
     """
 
     name: str
@@ -56,6 +58,7 @@
     aim_s: float = 0.0
     timeout_s: float = 0.0
     priority: int = 0
+    is_idempotent: bool = False
 
     @property
     def endpoint(self) -> tuple[int, int]:
--- a/plantainyoke/flows/_messages.py
+++ b/plantainyoke/flows/_messages.py
@@ -61,6 +61,7 @@
     SILENT = 8  # the target does not answer
     LEAVING = 9
     BUSY = 10  # the answer would come too late for the route's `aim_s`
+    FAILING = 11  # the target fails requests
 
 
 class Knowledge(IntEnum):
--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from plantainyoke.catalogue import Catalogue, Target
+from plantainyoke.catalogue import Catalogue
 from plantainyoke.flows import (
     MAX_HOPS,
     FlowKey,
@@ -18,7 +18,6 @@
     HeldFlow,
     Ingress,
     Knowledge,
-    Load,
     Message,
     MessageKind,
     Segment,
@@ -29,20 +28,16 @@
     format_flow,
 )
 from plantainyoke.packet_agent._finder import HolderFinder
+from plantainyoke.packet_agent._incarnation import IncarnationTracker
+from plantainyoke.packet_agent._observation import TargetObserver
 from plantainyoke.packet_agent._opening import FlowOpener
 from plantainyoke.packet_agent._sender import AgentTransport, MessageSender
-from plantainyoke.packet_node import PacketCodec
+from plantainyoke.packet_node import ALL_FEATURES, FeatureSettings, PacketCodec
 from plantainyoke.placement import FlowAdmission
 from plantainyoke.telemetry import Metrics, log_event
 
 MAX_REPORTS_PER_INTERVAL = 8  # 2 KB/s at four reports a second
 ACTIVITY_TIMEOUT_S = 2.0  # then balancers get no reports and target probes expire
-RESETS_PER_TICK = 200  # flows of an earlier incarnation that are reset in one tick
-CLOCK_SKEW_MARGIN_S = 0.5  # between the clock of the target's entry and this one
-# After a power loss a target starts sooner than the agent beside it, by the time that
-# the agent's imports take. A target that restarted under a live agent which was killed
-# at once, or whose host's clock stepped back, can look as young (KNOWN-RED.txt, 3).
-START_MARGIN_S = 0.45
 
 
 class TargetProbe(msgspec.Struct):
@@ -81,8 +76,9 @@
         Time at which this process started, in seconds.
     recovery_until : float
         Time up to which the target may hold flows from before this process
-        started; until then, packets of unknown flows are sent to the target to find
-        out whether it holds them.
+        started.
+    features : FeatureSettings, optional
+        By default all features are on.
 
     Attributes
     ----------
@@ -92,10 +88,8 @@
         Packets of unknown flows that were sent to the target, by flow.
     balancers : dict of int to float
         Time at which each balancer was heard last, by host.
-    flows_to_reset : list of bytes
-        Flows of an earlier incarnation of the target that are not reset yet.
-    incarnation : tuple of (str, int) or None
-        Name and time of birth of the target, None before it was first registered.
+    incarnations : IncarnationTracker
+    observer : TargetObserver
     now : float
         Time of the event that is being handled, in seconds.
     """
@@ -111,6 +105,7 @@
         metrics: Metrics,
         started_at: float,
         recovery_until: float,
+        features: FeatureSettings = ALL_FEATURES,
     ) -> None:
         self.host = host
         self.catalogue = catalogue
@@ -118,13 +113,10 @@
         self.transport = transport
         self.codec = codec
         self.metrics = metrics
-        self.started_at = started_at
-        self.recovery_until = recovery_until
+        self.features = features
         self.flow_table = FlowTable()
         self.target_probes: dict[FlowKey, TargetProbe] = {}
         self.balancers: dict[int, float] = {}
-        self.flows_to_reset: list[FlowKey] = []
-        self.incarnation: tuple[str, int] | None = None
         self.now = 0.0
         self.sender = MessageSender(
             host=host,
@@ -132,7 +124,7 @@
             transport=transport,
             codec=codec,
             metrics=metrics,
-            load=self.load,
+            load=lambda: self.observer.measure_load(self.now),
         )
         self.opener = FlowOpener(
             catalogue=catalogue,
@@ -143,6 +135,19 @@
             codec=codec,
             metrics=metrics,
         )
+        self.observer = TargetObserver(
+            admission=admission,
+            flow_table=self.flow_table,
+            count_waiting=lambda: len(self.opener.waiting_room),
+            metrics=metrics,
+        )
+        self.incarnations = IncarnationTracker(
+            admission=admission,
+            flow_table=self.flow_table,
+            sender=self.sender,
+            started_at=started_at,
+            recovery_until=recovery_until,
+        )
         self.finder = HolderFinder(
             host=host,
             catalogue=catalogue,
@@ -210,7 +215,10 @@
             self.transport.send_to_target(segment.raw)
             return
         is_search = message.kind == MessageKind.PROBE
-        if self.is_recovering() and flow not in self.flow_table.half_open:
+        if (
+            self.incarnations.is_recovering(self.now)
+            and flow not in self.flow_table.half_open
+        ):
             self.metrics.counters["packet.inquired"] += 1
             self.target_probes[flow] = TargetProbe(
                 source, message.ingress, self.now, is_search
@@ -285,17 +293,6 @@
             detail=knowledge,
         )
 
-    def limit_recovery(self, until: float) -> None:
-        """Set the time up to which the target may hold flows of earlier processes."""
-        self.recovery_until = min(self.recovery_until, until)
-
-    def is_recovering(self) -> bool:
-        """Return whether the target may hold flows of which this process knows nothing.
-
-        It cannot if it is as young as this process.
-        """
-        return self.now < self.recovery_until
-
     # Homes and searches.
 
     def _receive_find(self, message: Message, source: int) -> None:
@@ -320,7 +317,9 @@
         flow = decode_flow_key(message.body)
         if flow in self.flow_table.flows:
             knowledge = Knowledge.HOLDS
-        elif flow in self.flow_table.half_open or self.is_recovering():
+        elif flow in self.flow_table.half_open or self.incarnations.is_recovering(
+            self.now
+        ):
             knowledge = Knowledge.UNSURE
         else:
             knowledge = Knowledge.DENIES
@@ -363,9 +362,7 @@
                 self.flow_table.remove(flow)
                 return
             held = self._recover_flow(flow)
-        elapsed = self.flow_table.record_target_packet(held, segment, self.now)
-        if elapsed is not None:
-            self._record_answer(held, elapsed)
+        self.observer.record_packet(held, segment, self.now)
         if segment.resets:
             self.metrics.counters["flow.reset_by_target"] += 1
             log_event("flow_reset_by_target", flow=format_flow(flow))
@@ -405,25 +402,13 @@
 
     # Load reports, timers and leaving.
 
-    def load(self) -> Load:
-        """Return the load of the target, as reported to other processes."""
-        target = self.admission.target
-        count = len(self.flow_table.flows)
-        return Load(
-            count,
-            self.flow_table.in_flight + len(self.opener.waiting_room),
-            target.slots if target else 1,
-            self.admission.current_refusal(count, self.now),
-            round(self.admission.work_time.work_time_s * 1_000_000),
-        )
-
     def send_load_reports(self, now: float) -> None:
         """Send the load to balancers heard lately, a batch at a time, round robin."""
         self.now = now
         for balancer, heard_at in list(self.balancers.items()):
             if self.now - heard_at > ACTIVITY_TIMEOUT_S:
                 del self.balancers[balancer]
-        body = encode_load_body(b"", self.load())
+        body = encode_load_body(b"", self.observer.measure_load(now))
         for balancer in list(self.balancers)[:MAX_REPORTS_PER_INTERVAL]:
             self.sender.send(
                 MessageKind.LOAD_REPORT, balancer, body, ingress=Ingress(balancer)
@@ -447,9 +432,7 @@
     def handle_target_change(self, now: float, *, unix_s: float) -> None:
         """Handle a change of the published targets.
 
-        The holders of all flows are registered again at homes that changed. Flows of
-        an earlier incarnation of the target are reset before their callers send
-        requests on them.
+        The holders of all flows are registered again at homes that changed.
 
         Parameters
         ----------
@@ -459,40 +442,7 @@
         """
         self.now = now
         self.finder.homes_to_update = list(self.flow_table.flows)
-        target = self.admission.target
-        if target is None:
-            return
-        incarnation = target.name, target.born_ms
-        if incarnation == self.incarnation:
-            return
-        age_s = unix_s - target.born_ms / 1000
-        # A negative age shows that the clock was set: it says nothing about the flows.
-        # Those that the target lost are reset when it returns their next packets.
-        if 0 <= age_s < now - self.started_at + START_MARGIN_S:
-            self.recovery_until = 0.0
-        if self.incarnation is not None and age_s >= 0:
-            self._schedule_resets(target, age_s)
-        self.incarnation = incarnation
-
-    def _schedule_resets(self, target: Target, age_s: float) -> None:
-        """Schedule the resets of flows that are older than the target.
-
-        The entry of a new incarnation appears within one heartbeat interval. After the
-        store was unreachable it appears later, and only the time of birth shows how
-        old the incarnation is.
-        """
-        age_s = max(age_s + CLOCK_SKEW_MARGIN_S, 2 * self.admission.heartbeat_s)
-        self.flows_to_reset = [
-            flow
-            for flow, held in self.flow_table.flows.items()
-            if self.now - held.opened_at > age_s
-        ]
-        log_event(
-            "target_started_again",
-            target=target.name,
-            age_s=round(age_s, 2),
-            flows_lost=len(self.flows_to_reset),
-        )
+        self.incarnations.record_target(now, unix_s=unix_s)
 
     def tick(self, now: float) -> None:
         """Remove expired state, update homes, and reset a batch of lost flows."""
@@ -508,16 +458,4 @@
         ]
         for flow in stale:
             del self.target_probes[flow]
-        for flow in self.flows_to_reset[:RESETS_PER_TICK]:
-            held = self.flow_table.remove(flow)
-            if held is not None:
-                self.sender.reset_flow(flow, held.acknowledged, "target_started_again")
-        del self.flows_to_reset[:RESETS_PER_TICK]
-
-    def _record_answer(self, held: HeldFlow, elapsed: float) -> None:
-        target = self.admission.target
-        slots = target.slots if target else 1
-        self.metrics.observe("answer", elapsed)
-        self.admission.work_time.record_answer(
-            elapsed, in_flight=held.in_flight_at_request, slots=slots
-        )
+        self.incarnations.reset_lost_flows()
--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -58,6 +58,7 @@
             metrics=node.metrics,
             started_at=self.started_at,
             recovery_until=0.0 if settings.is_bootstrap else float("inf"),
+            features=settings.features,
         )
         node.catalogue.listeners.append(self._handle_change)
 
@@ -75,7 +76,7 @@
         await node.load_catalogue()
         # Flows that are idle for longer than this may be dropped in any case.
         idle_s = node.catalogue.configuration.idle_timeout_s
-        self.delivery.limit_recovery(self.started_at + idle_s)
+        self.delivery.incarnations.limit_recovery(self.started_at + idle_s)
         node.start_task(self._run_timers(), name="timers")
         node.is_ready = True
         log_event(
--- a/plantainyoke/packet_balancer/_program.py
+++ b/plantainyoke/packet_balancer/_program.py
@@ -8,7 +8,8 @@
 
 from plantainyoke.flows import FlowKey, get_caller_ip
 from plantainyoke.network import Address, DatagramSocket
-from plantainyoke.packet_balancer._steering import BalancerTransport, PacketSteering
+from plantainyoke.packet_balancer._sender import BalancerTransport
+from plantainyoke.packet_balancer._steering import PacketSteering
 from plantainyoke.packet_node import PacketNode
 from plantainyoke.telemetry import log_event
 
@@ -50,6 +51,7 @@
             ),
             codec=node.codec,
             metrics=node.metrics,
+            features=node.settings.features,
         )
 
     async def start(self) -> None:
@@ -130,7 +132,7 @@
             now = loop.time()
             if self.node.check_for_pause():
                 steering.agents.clear_silence()
-            if steering.unresolved:
+            if steering.flow_cache.unresolved:
                 steering.tick(now)
             if now >= expire_at:
                 expire_at = now + EXPIRE_INTERVAL_S
--- a/plantainyoke/packet_node/__init__.py
+++ b/plantainyoke/packet_node/__init__.py
@@ -8,9 +8,15 @@
 from plantainyoke.packet_node._node import PacketNode, StoreReader
 from plantainyoke.packet_node._pause import BootClockPauseDetector
 from plantainyoke.packet_node._reset import send_reset
-from plantainyoke.packet_node._settings import ProcessSettings
+from plantainyoke.packet_node._settings import (
+    ALL_FEATURES,
+    FeatureSettings,
+    ProcessSettings,
+)
 
 __all__ = [
+    "ALL_FEATURES",
+    "FeatureSettings",
     "ProcessSettings",
     "PacketCodec",
     "PacketNode",
--- a/plantainyoke/packet_node/_settings.py
+++ b/plantainyoke/packet_node/_settings.py
@@ -8,6 +8,34 @@
 from plantainyoke.network import Address
 
 
+class FeatureSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Behaviour under hard load that operators can turn off.
+
+    Attributes
+    ----------
+    failing_target_detection : bool
+        Whether targets that fail requests get no new flows.
+    expected_time_choice : bool
+        Whether targets are compared by the expected time to an answer.
+    request_queue : bool
+        Whether an agent orders the requests on open flows while its target is busy.
+    lost_flow_probes : bool
+        Whether an agent probes the flows of a target that has returned a packet of one.
+    relay_through_third_zone : bool
+        Whether a balancer sends packets through a third zone if an agent's zone cannot
+        be reached directly.
+    """
+
+    failing_target_detection: bool = True
+    expected_time_choice: bool = True
+    request_queue: bool = True
+    lost_flow_probes: bool = True
+    relay_through_third_zone: bool = True
+
+
+ALL_FEATURES = FeatureSettings()
+
+
 class ProcessSettings(msgspec.Struct, frozen=True):
     """Settings of one process of the packet path.
 
@@ -47,6 +75,7 @@
         Multiple of a cold target's configured rate of new flows that is tolerated.
     cold_extra_flows_per_s : float
         New flows per second that are tolerated on top of that multiple.
+    features : FeatureSettings
     """
 
     name: str
@@ -66,3 +95,4 @@
     grace_s: float
     cold_overshoot_factor: float
     cold_extra_flows_per_s: float
+    features: FeatureSettings = ALL_FEATURES
--- a/plantainyoke/platform/_entries.py
+++ b/plantainyoke/platform/_entries.py
@@ -21,6 +21,7 @@
 CONFIGURATION_KEY = "op/config"
 ZONE_OUT_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
+IDEMPOTENT_TYPES = ("safe", "download")
 
 
 class EntryError(Exception):
@@ -41,6 +42,7 @@
     aim_ms: float = 0.0
     timeout_ms: float = 0.0
     priority: int = 0
+    type: str = ""
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -160,4 +162,5 @@
         route.aim_ms / 1000,
         route.timeout_ms / 1000,
         route.priority,
+        route.type in IDEMPOTENT_TYPES,
     )
--- a/plantainyoke/platform/_settings.py
+++ b/plantainyoke/platform/_settings.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from plantainyoke.network import parse_address, parse_host
-from plantainyoke.packet_node import ProcessSettings
+from plantainyoke.packet_node import FeatureSettings, ProcessSettings
 
 
 class SettingsError(Exception):
@@ -58,6 +58,7 @@
     app: str | None = None  # address of an agent's target
     service: str | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    features: FeatureSettings = FeatureSettings()
 
 
 def load_process_settings(path: str | os.PathLike) -> ProcessSettings:
@@ -103,4 +104,5 @@
         grace_s=file.bounds.grace_s,
         cold_overshoot_factor=file.bounds.cold_overshoot,
         cold_extra_flows_per_s=file.bounds.cold_slack,
+        features=file.features,
     )
--- a/plantainyoke/tests/test_packet_fault_sequences.py
+++ b/plantainyoke/tests/test_packet_fault_sequences.py
@@ -34,7 +34,7 @@
         else:
             holders = {
                 flow: cached.holder
-                for flow, cached in packet_handler.flow_cache.items()
+                for flow, cached in packet_handler.flow_cache.flows.items()
             }
             process_states.append((host, process.is_alive, frozenset(holders.items())))
     target_flows = [frozenset(target.flows) for target in simulation.targets.values()]
