Let a silent host without an entry not block searches

Cause: one agent stopped at 36.3 s because its target had left. Its entry was gone from the store, but views keep such targets for 2.3 s after an outage, and a search waits for every candidate that a view has. Ruled out: targets that are slow to start (all 54 agents were ready at 36.0 s) and lost queries.

Change: a host without an entry in the store that has been silent since a first query for longer than an agent needs to start and be asked again (1.25 s) does not count as present. Silence is kept across searches and forgotten when this process was paused.

--- a/plantainyoke/flows/__init__.py
+++ b/plantainyoke/flows/__init__.py
@@ -30,7 +30,12 @@
     encode_open_body,
     encode_open_detail,
 )
-from plantainyoke.flows._search import WIDEN_DELAY_S, Search, SearchTable
+from plantainyoke.flows._search import (
+    MAX_REPEAT_DELAY_S,
+    WIDEN_DELAY_S,
+    Search,
+    SearchTable,
+)
 from plantainyoke.flows._segment import (
     FLOW_KEY_BYTES,
     FlowFormatError,
@@ -62,6 +67,7 @@
     "FlowRefusal",
     "Search",
     "SearchTable",
+    "MAX_REPEAT_DELAY_S",
     "WIDEN_DELAY_S",
     "Segment",
     "get_caller_ip",
--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -179,6 +179,7 @@
         if message.hops > MAX_HOPS:
             self.metrics.counters["drop.hops"] += 1
             return
+        self.finder.record_message(source)
         if message.ingress.host == source:
             self.balancers[source] = now
         handler(message, source)
