Detect targets that reset requests, and eject them

Cause: a target that resets part of its requests passes its health check and gets new flows as before; callers lose a request for each reset.

Change: an agent records how the requests of its target end. Two resets by the target among the latest ten outcomes per slot, within 2 s, make it failing: the agent refuses new flows (FAILING) and admits one idempotent trial flow at a time from 2 s on. Three resets among the latest fifteen outcomes prove it impaired: its idle flows are reset, if another target can take them. Resets on closing or reopened flows, in cold start, while draining, on a full target and within 1 s after a pause or start do not count.

The simulated caller now advances its sequence with each request; before, every request after the first looked like a late copy to the agent.

--- a/plantainyoke/flows/_flow_table.py
+++ b/plantainyoke/flows/_flow_table.py
@@ -41,6 +41,9 @@
     expected_sequence : int or None
         Sequence of the data that the target expects next, None before its first
         acknowledgement.
+    is_reopened : bool
+        Whether its caller's address sent another first packet: it may have lost the
+        flow, and the target may then reset it.
     """
 
     opened_at: float
@@ -52,6 +55,7 @@
     acknowledged: int = 0
     is_closing: bool = False
     expected_sequence: int | None = None
+    is_reopened: bool = False
 
     def is_new_data(self, segment: Segment) -> bool:
         """Return whether a caller's packet has data that the target does not have.
--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -27,6 +27,7 @@
     encode_load_body,
     format_flow,
 )
+from plantainyoke.packet_agent._ejection import TargetEjector
 from plantainyoke.packet_agent._finder import HolderFinder
 from plantainyoke.packet_agent._incarnation import IncarnationTracker
 from plantainyoke.packet_agent._observation import TargetObserver
@@ -90,6 +91,7 @@
         Time at which each balancer was heard last, by host.
     incarnations : IncarnationTracker
     observer : TargetObserver
+    ejector : TargetEjector
     now : float
         Time of the event that is being handled, in seconds.
     """
@@ -141,6 +143,14 @@
             count_waiting=lambda: len(self.opener.waiting_room),
             metrics=metrics,
         )
+        self.ejector = TargetEjector(
+            admission=admission,
+            flow_table=self.flow_table,
+            sender=self.sender,
+            metrics=metrics,
+            started_at=started_at,
+            is_enabled=features.failing_target_detection,
+        )
         self.incarnations = IncarnationTracker(
             admission=admission,
             flow_table=self.flow_table,
@@ -362,6 +372,7 @@
                 self.flow_table.remove(flow)
                 return
             held = self._recover_flow(flow)
+        self.ejector.record_target_packet(held, segment, self.now)
         self.observer.record_packet(held, segment, self.now)
         if segment.resets:
             self.metrics.counters["flow.reset_by_target"] += 1
@@ -443,12 +454,14 @@
         self.now = now
         self.finder.homes_to_update = list(self.flow_table.flows)
         self.incarnations.record_target(now, unix_s=unix_s)
+        self.ejector.record_incarnation(self.incarnations.incarnation)
 
     def tick(self, now: float) -> None:
         """Remove expired state, update homes, and reset a batch of lost flows."""
         self.now = now
         self.flow_table.expire(now, self.catalogue.configuration.idle_timeout_s)
         self.flow_table.expire_requests(now, self.opener.get_timeout_s)
+        self.ejector.tick(now)
         self.opener.admit_waiting(now)
         self.finder.tick(self.flow_table.flows, now)
         stale = [
--- a/plantainyoke/packet_agent/_opening.py
+++ b/plantainyoke/packet_agent/_opening.py
@@ -93,6 +93,8 @@
             held is not None and not held.is_closing
         ):
             self.metrics.counters["open.copy"] += 1
+            if held is not None:
+                held.is_reopened = True
             self.transport.send_to_target(packet)
             return
         half_open = HalfOpenFlow(
@@ -205,6 +207,7 @@
             mostly_cold=half_open.mostly_cold,
             in_flight=self.count_in_flight(now),
             aim_s=self._get_route(flow).aim_s,
+            is_idempotent=self._get_route(flow).is_idempotent,
         )
 
     def _send_first_packet(
@@ -212,6 +215,8 @@
     ) -> None:
         self.metrics.counters["open.given"] += 1
         half_open.sent_at = now
+        if self.admission.ejection.is_failing:
+            self.admission.ejection.start_trial(flow, now)
         self.flow_table.add_half_open(flow, half_open)
         self.admission.record_first_packet(now)
         self.transport.send_to_target(half_open.packet)
--- a/plantainyoke/placement/_admission.py
+++ b/plantainyoke/placement/_admission.py
@@ -12,6 +12,7 @@
 from plantainyoke.catalogue import Catalogue, Target
 from plantainyoke.flows import FlowRefusal
 from plantainyoke.hashing import compute_service_id
+from plantainyoke.outliers import EjectionState
 from plantainyoke.placement._work_time import WorkTimeEstimator
 
 COLD_WINDOW_S = 1.05  # above the 1 s of the configured rate: packets may bunch up
@@ -106,6 +107,8 @@
         Time at which a flow was last admitted to probe a silent target.
     cold_start_limiter : ColdStartLimiter
     work_time : WorkTimeEstimator
+    ejection : EjectionState
+        Whether the target is ejected because it fails requests.
     """
 
     catalogue: Catalogue
@@ -121,6 +124,7 @@
         default_factory=ColdStartLimiter
     )
     work_time: WorkTimeEstimator = msgspec.field(default_factory=WorkTimeEstimator)
+    ejection: EjectionState = msgspec.field(default_factory=EjectionState)
 
     @property
     def target(self) -> Target | None:
@@ -190,6 +194,8 @@
         limits = self.catalogue.services.get(target.service)
         if limits is not None and flows >= limits.max_flows:
             return FlowRefusal.FULL
+        if self.ejection.is_failing and not self.ejection.is_trial_due(now):
+            return FlowRefusal.FAILING
         return FlowRefusal.NONE
 
     def admit_flow(
@@ -201,6 +207,7 @@
         mostly_cold: bool,
         in_flight: int = 0,
         aim_s: float = 0.0,
+        is_idempotent: bool = False,
     ) -> FlowRefusal:
         """Admit or refuse one new flow.
 
@@ -223,6 +230,9 @@
             Flows whose callers wait for an answer.
         aim_s : float
             Time in which the route's callers expect an answer, 0 if unspecified.
+        is_idempotent : bool
+            Whether the flow may try a failing target, because its caller repeats
+            requests.
 
         Returns
         -------
@@ -241,6 +251,8 @@
         target = self.target
         if compute_service_id(target.service) != service:
             return FlowRefusal.SERVICE
+        if self.ejection.is_failing and not is_idempotent:
+            return FlowRefusal.FAILING
         if aim_s and in_flight >= self.max_in_flight:
             return FlowRefusal.BUSY
         if self.is_cold(now) and not self._admit_to_cold_target(
--- a/plantainyoke/standins/_packet_simulation.py
+++ b/plantainyoke/standins/_packet_simulation.py
@@ -24,6 +24,7 @@
 from plantainyoke.flows import FlowKey, Segment, decode_message
 from plantainyoke.packet_agent import AgentTransport, PacketDelivery
 from plantainyoke.packet_balancer import BalancerTransport, PacketSteering
+from plantainyoke.packet_node import ALL_FEATURES, FeatureSettings
 from plantainyoke.placement import ColdStartTolerance, FlowAdmission
 from plantainyoke.platform import (
     PACKET_CODEC,
@@ -87,6 +88,8 @@
         Whether it accepts new flows; otherwise it bounces their first packets.
     slots : int, optional
         Requests on which it works at a time; further ones wait. None for no limit.
+    reset_share : float
+        Share of the requests that it resets instead of answering them.
     slots_free_at : list of float
         Time at which each slot has completed the requests that it was given.
     flows, half_open_flows : dict of FlowKey to int
@@ -103,6 +106,7 @@
     is_alive: bool = True
     is_accepting: bool = True
     slots: int | None = None
+    reset_share: float = 0.0
     slots_free_at: list[float] = field(default_factory=list)
     flows: dict[FlowKey, int] = field(default_factory=dict)
     half_open_flows: dict[FlowKey, int] = field(default_factory=dict)
@@ -167,6 +171,10 @@
 
     def _answer(self, flow: FlowKey, segment: Segment) -> None:
         if self.is_alive and flow in self.flows:
+            if self.reset_share and self.simulation.rng.random() < self.reset_share:
+                del self.flows[flow]
+                self._send(write_packet(flow, RST, from_target=True))
+                return
             self._send(
                 write_packet(
                     flow,
@@ -197,7 +205,7 @@
     reset_at : float, optional
         Time of the first reset that arrived.
     sequence, acknowledged : int
-        Numbers that its packets carry.
+        Numbers that its next packet carries.
     last_requested, last_answered : int
         Number of the newest request sent, and of the newest one answered.
     """
@@ -222,7 +230,10 @@
         Retransmission ends after the last of ``RETRANSMIT_INTERVALS_S``.
         """
         self.last_requested += 1
-        self._transmit(self.last_requested, 0)
+        payload = REQUEST + str(self.last_requested).encode()
+        packet = self._write(payload)
+        self.sequence += len(payload)
+        self._transmit(self.last_requested, packet, 0)
 
     def receive(self, packet: bytes) -> None:
         """Handle a packet that arrives for this flow."""
@@ -243,14 +254,14 @@
             packet = write_packet(self.flow, SYN, acknowledged=copy)
             self.simulation.send_from_caller(packet)
 
-    def _transmit(self, number: int, attempt: int) -> None:
+    def _transmit(self, number: int, packet: bytes, attempt: int) -> None:
         if self.last_answered >= number or self.reset_at is not None:
             return
-        self.simulation.send_from_caller(self._write(REQUEST + str(number).encode()))
+        self.simulation.send_from_caller(packet)
         if attempt < len(RETRANSMIT_INTERVALS_S):
             delay = RETRANSMIT_INTERVALS_S[attempt]
             self.simulation.call_later(
-                delay, lambda: self._transmit(number, attempt + 1)
+                delay, lambda: self._transmit(number, packet, attempt + 1)
             )
 
     def _write(self, payload: bytes) -> bytes:
@@ -304,6 +315,12 @@
         4, but work on any number.
     loss : float, default=0.0
         Share of the messages between processes that are lost.
+    timeout_s : float, default=0.0
+        Time after which the route's callers give up a request, 0 if not stated.
+    is_idempotent : bool, default=False
+        Whether the route's callers may repeat requests after any failure.
+    features : FeatureSettings, optional
+        By default all features are on.
     """
 
     def __init__(
@@ -316,11 +333,15 @@
         aim_s: float = 0.0,
         slots: int | None = None,
         loss: float = 0.0,
+        timeout_s: float = 0.0,
+        is_idempotent: bool = False,
+        features: FeatureSettings = ALL_FEATURES,
     ) -> None:
         self.services = services
         self.rng = random.Random(seed)
         self.now = 1000.0
         self.loss = loss
+        self.features = features
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.event_numbers = itertools.count()
         self.ports = itertools.count(40_000)
@@ -340,6 +361,8 @@
                     SERVICE_PORT,
                     (RouteShare(next(iter(services)), 1),),
                     aim_s,
+                    timeout_s,
+                    is_idempotent=is_idempotent,
                 ),
             ),
             {name: ServiceLimits(2000, 2.0, 0.0) for name in services},
@@ -380,6 +403,7 @@
             ),
             codec=PACKET_CODEC,
             metrics=self._get_metrics(host),
+            features=self.features,
         )
         self._add_process(host, catalogue, steering)
         return steering
@@ -414,6 +438,7 @@
             metrics=self._get_metrics(host),
             started_at=self.now,
             recovery_until=0.0 if is_bootstrap else self.now + 15.0,
+            features=self.features,
         )
         catalogue.listeners.append(
             lambda _: delivery.handle_target_change(self.now, unix_s=self.now)
