Choose targets by the expected time to an answer

Cause: targets of one service differ in speed, but flows were placed by counts, so a slow target got as many flows as a fast one and requests queued there.

Change: the load per slot is multiplied by the reported service time relative to the median, in steps of a factor of 1.41 so that errors of the estimate do not decide. A service time that no answer has changed approaches the median with a half-life of 4 s. With one slot, the service time of a queued request is measured from the answer before it. features.expected_time_choice turns the choice off.

--- a/plantainyoke/packet_agent/_observation.py
+++ b/plantainyoke/packet_agent/_observation.py
@@ -41,7 +41,7 @@
         """Record a packet that the target sent on an open flow."""
         elapsed_s = self.flow_table.record_target_packet(held, segment, now)
         if elapsed_s is not None:
-            self._record_answer(held, elapsed_s)
+            self._record_answer(held, elapsed_s, now)
 
     def measure_load(self, now: float) -> Load:
         """Return the load of the target, as reported to other processes."""
@@ -55,10 +55,10 @@
             round(self.admission.work_time.work_time_s * 1_000_000),
         )
 
-    def _record_answer(self, held: HeldFlow, elapsed_s: float) -> None:
+    def _record_answer(self, held: HeldFlow, elapsed_s: float, now: float) -> None:
         target = self.admission.target
         slots = target.slots if target else 1
         self.metrics.observe("answer", elapsed_s)
         self.admission.work_time.record_answer(
-            elapsed_s, in_flight=held.in_flight_at_request, slots=slots
+            elapsed_s, in_flight=held.in_flight_at_request, slots=slots, now=now
         )
--- a/plantainyoke/packet_balancer/_placer.py
+++ b/plantainyoke/packet_balancer/_placer.py
@@ -26,6 +26,7 @@
 from plantainyoke.placement import (
     AgentTable,
     is_mostly_cold,
+    rank_by_expected_time,
     rank_services,
     rank_targets,
     select_idle_service,
@@ -71,6 +72,9 @@
         self.codec = codec
         self.metrics = metrics
         self.features = features
+        self.rank_targets = (
+            rank_by_expected_time if features.expected_time_choice else rank_targets
+        )
 
     def receive_first_packet(
         self, segment: Segment, entry: CachedFlow | None, now: float
@@ -157,7 +161,7 @@
         entry.pending_segment = segment
         entry.deadline = now + PLACE_TIMEOUT_S
         self.cache.unresolved[flow] = entry
-        self.agents.get(entry.offered_hosts[0]).placed_since_report += 1
+        self.agents.record_placement(entry.offered_hosts[0], now)
         self.metrics.counters["open.placed"] += 1
         log_event(
             "open_placed",
@@ -192,7 +196,7 @@
             for service in rank_services(route, flow)
         }
         ranked = [
-            rank_targets(
+            self.rank_targets(
                 [target for target in targets if target.host not in entry.tried_hosts],
                 flow=flow,
                 zone=self.zone,
--- a/plantainyoke/placement/__init__.py
+++ b/plantainyoke/placement/__init__.py
@@ -17,6 +17,7 @@
     select_by_rendezvous,
     select_idle_service,
 )
+from plantainyoke.placement._expected_time import rank_by_expected_time
 from plantainyoke.placement._waiting import WaitingFlow, WaitingRoom
 from plantainyoke.placement._work_time import WorkTimeEstimator
 
@@ -34,4 +35,5 @@
     "is_mostly_cold",
     "select_idle_service",
     "rank_targets",
+    "rank_by_expected_time",
 ]
--- a/plantainyoke/placement/_agents.py
+++ b/plantainyoke/placement/_agents.py
@@ -27,6 +27,9 @@
         Time of the last message from the agent.
     placed_since_report : int
         Flows that were placed at the agent since its last report.
+    work_time_changed_at : float
+        Time at which the reported service time changed last; it changes with each
+        answer.
     refused_at : float
         Time of the last refusal, in a report or for a flow.
     leaving_until : float
@@ -38,6 +41,7 @@
     load: Load = msgspec.field(default_factory=Load)
     last_message_at: float = 0.0
     placed_since_report: int = 0
+    work_time_changed_at: float = 0.0
     refused_at: float = 0.0
     leaving_until: float = 0.0
     silent_until: float = 0.0
@@ -99,9 +103,15 @@
         agent.silent_until = 0.0
         return agent
 
+    def record_placement(self, host: int, now: float) -> None:
+        """Record that a flow was placed at an agent."""
+        self.get(host).placed_since_report += 1
+
     def record_load(self, host: int, load: Load, now: float) -> None:
         """Record the load that an agent reported."""
         agent = self.record_message(host, now)
+        if load.work_time_us != agent.load.work_time_us:
+            agent.work_time_changed_at = now
         agent.load = load
         agent.placed_since_report = 0
         if load.refusal != FlowRefusal.NONE:
--- a/plantainyoke/placement/_work_time.py
+++ b/plantainyoke/placement/_work_time.py
@@ -19,14 +19,24 @@
     ----------
     work_time_s : float
         Running mean of the work time of a request, 0 before the first answer.
+    answered_at : float
+        Time of the latest answer in seconds, 0 before the first one.
     """
 
     def __init__(self) -> None:
         self.work_time_s = 0.0
+        self.answered_at = 0.0
 
-    def record_answer(self, elapsed_s: float, *, in_flight: int, slots: int) -> None:
+    def record_answer(
+        self, elapsed_s: float, *, in_flight: int, slots: int, now: float | None = None
+    ) -> None:
         """Update the running mean with one answer.
 
+        Load pattern: three in a hundred requests take seven times as long. A request
+        behind one of them waits for what is left of it, so that a share of the elapsed
+        time by the length of the queue misjudges both. With one slot, the work on a
+        request that queued starts at the answer before it.
+
         Parameters
         ----------
         elapsed_s : float
@@ -35,9 +45,16 @@
             Requests at the target when this one arrived, including itself.
         slots : int
             Requests that the target runs at a time.
+        now : float, optional
+            Time of the answer in seconds. Without it the work on a request that queued
+            is always taken as a share of the elapsed time.
         """
         share = min(1.0, slots / max(1, in_flight))
         sample = elapsed_s * share
+        if now is not None:
+            if slots == 1 and self.answered_at:
+                sample = min(elapsed_s, now - self.answered_at)
+            self.answered_at = now
         if self.work_time_s:
             self.work_time_s += (sample - self.work_time_s) * SAMPLE_WEIGHT
         else:
--- a/plantainyoke/standins/__init__.py
+++ b/plantainyoke/standins/__init__.py
@@ -21,6 +21,11 @@
     PacketSimulation,
     write_packet,
 )
+from plantainyoke.standins._placement_simulation import (
+    PlacementLoad,
+    PlacementResult,
+    PlacementSimulation,
+)
 from plantainyoke.standins._platform import FakePlatform
 from plantainyoke.standins._store import STORE_PORT, FakeStore, StoreCopy
 from plantainyoke.standins._upstream import FakeUpstream, UpstreamOptions
@@ -39,6 +44,9 @@
     "FleetPlan",
     "PacketFleet",
     "PacketSimulation",
+    "PlacementLoad",
+    "PlacementResult",
+    "PlacementSimulation",
     "FakePlatform",
     "ServicePlan",
     "PacketFleetPlan",
