Limit the ejection of failing targets, and test for false alarms

Cause: if most targets of a service fail, their agents would refuse every flow. A reset of an open flow of a healthy target must not occur.

Change: a balancer that sees more than 40 % of a service's eligible targets failing states IGNORE_FAILING_FLAG in OPEN; agents then admit as usual and reset no idle flows.

--- a/plantainyoke/flows/__init__.py
+++ b/plantainyoke/flows/__init__.py
@@ -8,6 +8,7 @@
 from plantainyoke.flows._flow_table import FlowTable, HalfOpenFlow, HeldFlow
 from plantainyoke.flows._homes import HolderTable, choose_homes
 from plantainyoke.flows._messages import (
+    IGNORE_FAILING_FLAG,
     MAX_ALTERNATES,
     MAX_HOPS,
     MAY_WAIT_FLAG,
@@ -43,6 +44,7 @@
 )
 
 __all__ = [
+    "IGNORE_FAILING_FLAG",
     "MAY_WAIT_FLAG",
     "MOSTLY_COLD_FLAG",
     "FLOW_KEY_BYTES",
--- a/plantainyoke/flows/_flow_table.py
+++ b/plantainyoke/flows/_flow_table.py
@@ -89,6 +89,8 @@
         Whether half of the service's targets were in cold start.
     may_wait : bool
         Whether the flow may wait until the target has capacity.
+    ignore_failing : bool
+        Whether the target may accept the flow although it fails requests.
     acceptance_sequence : int or None
         Sequence of the target's acceptance, None before it.
     """
@@ -101,6 +103,7 @@
     hops: int
     mostly_cold: bool = False
     may_wait: bool = False
+    ignore_failing: bool = False
     acceptance_sequence: int | None = None
 
 
--- a/plantainyoke/flows/_messages.py
+++ b/plantainyoke/flows/_messages.py
@@ -20,6 +20,8 @@
 MAX_ALTERNATES = 8
 MOSTLY_COLD_FLAG = 0x80  # flags beside the number of alternates
 MAY_WAIT_FLAG = 0x40
+IGNORE_FAILING_FLAG = 0x20
+ALTERNATES_MASK = 0x1F
 MAX_HOPS = 6  # forwards of one packet between processes before it is dropped
 
 
@@ -180,7 +182,11 @@
 
 
 def encode_open_detail(
-    alternates: int, *, mostly_cold: bool = False, may_wait: bool = False
+    alternates: int,
+    *,
+    mostly_cold: bool = False,
+    may_wait: bool = False,
+    ignore_failing: bool = False,
 ) -> int:
     """Return the detail of OPEN.
 
@@ -192,11 +198,14 @@
         Whether at least half of the service's targets are in cold start.
     may_wait : bool, default=False
         Whether the flow may wait until the target has capacity.
+    ignore_failing : bool, default=False
+        Whether a failing target may accept the flow, because too many are failing.
     """
     return (
         alternates
         | (MOSTLY_COLD_FLAG if mostly_cold else 0)
         | (MAY_WAIT_FLAG if may_wait else 0)
+        | (IGNORE_FAILING_FLAG if ignore_failing else 0)
     )
 
 
@@ -212,7 +221,7 @@
     ------
     MalformedMessageError
     """
-    count = detail & ~(MOSTLY_COLD_FLAG | MAY_WAIT_FLAG)
+    count = detail & ALTERNATES_MASK
     size = count * 4
     if count > MAX_ALTERNATES or len(body) <= size:
         raise MalformedMessageError(
--- a/plantainyoke/outliers/_ejection.py
+++ b/plantainyoke/outliers/_ejection.py
@@ -12,6 +12,8 @@
 TRIAL_ANSWERS = 3  # consecutive answers of trial flows that end the ejection
 # A trial flow without a request does not block the next one for longer.
 TRIAL_TIMEOUT_S = 2.0
+# Balancers that ignore the state state so with each flow; after this time none does.
+IGNORED_S = 2.0
 
 
 class EjectionState(msgspec.Struct):
@@ -37,6 +39,8 @@
         Time at which it was admitted.
     trial_answers : int
         Consecutive answers of trial flows.
+    ignored_until : float
+        Time until which balancers are taken to ignore the state.
     """
 
     is_failing: bool = False
@@ -46,6 +50,7 @@
     trial_flow: FlowKey | None = None
     trial_at: float = 0.0
     trial_answers: int = 0
+    ignored_until: float = 0.0
 
     def eject(self, now: float) -> None:
         """Eject the target because it fails requests."""
@@ -71,6 +76,10 @@
             self._double_retry_delay()
         self._postpone(now)
 
+    def record_ignored(self, now: float) -> None:
+        """Record that a balancer ignores failures, because too many targets fail."""
+        self.ignored_until = now + IGNORED_S
+
     def is_trial_due(self, now: float) -> bool:
         """Return whether an ejected target may get a trial flow."""
         return now >= self.retry_at and (
--- a/plantainyoke/packet_agent/_ejection.py
+++ b/plantainyoke/packet_agent/_ejection.py
@@ -161,6 +161,8 @@
         Flows with a request in flight are left alone until it is answered. Nothing is
         reset if no other target could take the flows.
         """
+        if now < self.admission.ejection.ignored_until:
+            return
         target = self.admission.target
         if not self.window.proves_impaired(now, slots=self.slots) or target is None:
             return
--- a/plantainyoke/packet_agent/_opening.py
+++ b/plantainyoke/packet_agent/_opening.py
@@ -6,6 +6,7 @@
 
 from plantainyoke.catalogue import Catalogue, Route
 from plantainyoke.flows import (
+    IGNORE_FAILING_FLAG,
     MAX_HOPS,
     MAY_WAIT_FLAG,
     MOSTLY_COLD_FLAG,
@@ -106,6 +107,7 @@
             message.hops,
             bool(message.detail & MOSTLY_COLD_FLAG),
             bool(message.detail & MAY_WAIT_FLAG),
+            bool(message.detail & IGNORE_FAILING_FLAG),
         )
         if flow in self.waiting_room.flows:
             self.metrics.counters["open.copy"] += 1
@@ -196,6 +198,7 @@
                 len(remaining),
                 mostly_cold=half_open.mostly_cold,
                 may_wait=half_open.may_wait,
+                ignore_failing=half_open.ignore_failing,
             ),
         )
 
@@ -208,6 +211,7 @@
             in_flight=self.count_in_flight(now),
             aim_s=self._get_route(flow).aim_s,
             is_idempotent=self._get_route(flow).is_idempotent,
+            ignore_failing=half_open.ignore_failing,
         )
 
     def _send_first_packet(
--- a/plantainyoke/packet_balancer/_flow_cache.py
+++ b/plantainyoke/packet_balancer/_flow_cache.py
@@ -38,6 +38,10 @@
         attempt.
     may_wait : bool
         Whether the flow may wait at an agent, because busy ones refused it.
+    ignore_failing : bool
+        Whether a failing target may accept the flow, because too many are failing.
+    service_name : str
+        Name of the service that was selected last.
     attempts : int
         Number of attempts so far to place the flow or to find its holder.
     timed_out : bool
@@ -57,6 +61,8 @@
     offered_hosts: list[int] = msgspec.field(default_factory=list)
     mostly_cold: bool = False
     may_wait: bool = False
+    ignore_failing: bool = False
+    service_name: str = ""
     attempts: int = 0
     timed_out: bool = False
     deadline: float = 0.0
--- a/plantainyoke/packet_balancer/_placer.py
+++ b/plantainyoke/packet_balancer/_placer.py
@@ -25,6 +25,7 @@
 from plantainyoke.packet_node import FeatureSettings, PacketCodec
 from plantainyoke.placement import (
     AgentTable,
+    apply_ejection_limit,
     is_mostly_cold,
     rank_services,
     rank_targets,
@@ -49,6 +50,11 @@
     codec : PacketCodec
     metrics : Metrics
     features : FeatureSettings
+
+    Attributes
+    ----------
+    ignored_services : set of str
+        Services of which so many targets fail that this is ignored.
     """
 
     def __init__(
@@ -71,6 +77,7 @@
         self.codec = codec
         self.metrics = metrics
         self.features = features
+        self.ignored_services: set[str] = set()
 
     def receive_first_packet(
         self, segment: Segment, entry: CachedFlow | None, now: float
@@ -123,6 +130,13 @@
             # The best targets are busy, so the others are no better: the flow waits
             # at one of the best.
             entry.may_wait = True
+        elif (
+            refusal == FlowRefusal.FAILING
+            and not entry.ignore_failing
+            and self._exceeds_ejection_limit(entry.service_name, now)
+        ):
+            # Too many targets fail: the same ones are asked to admit the flow.
+            entry.ignore_failing = True
         else:
             entry.tried_hosts += entry.offered_hosts
         self._place(segment, entry, now)
@@ -152,6 +166,8 @@
         service = targets[0].service
         entry.offered_hosts = [target.host for target in targets]
         entry.service = compute_service_id(service)
+        entry.service_name = service
+        entry.ignore_failing |= service in self.ignored_services
         entry.mostly_cold = mostly_cold
         entry.attempts += 1
         entry.pending_segment = segment
@@ -191,6 +207,8 @@
             service: self.catalogue.list_eligible_targets(service)
             for service in rank_services(route, flow)
         }
+        for service, targets in eligible.items():
+            self._update_ejection_limit(service, targets, now)
         ranked = [
             rank_targets(
                 [target for target in targets if target.host not in entry.tried_hosts],
@@ -213,6 +231,26 @@
             encode_open_body(alternates, segment.raw),
             service=entry.service,
             detail=encode_open_detail(
-                len(alternates), mostly_cold=entry.mostly_cold, may_wait=entry.may_wait
+                len(alternates),
+                mostly_cold=entry.mostly_cold,
+                may_wait=entry.may_wait,
+                ignore_failing=entry.ignore_failing,
             ),
         )
+
+    def _exceeds_ejection_limit(self, service: str, now: float) -> bool:
+        targets = self.catalogue.list_eligible_targets(service)
+        self._update_ejection_limit(service, targets, now)
+        return service in self.ignored_services
+
+    def _update_ejection_limit(
+        self, service: str, targets: list[Target], now: float
+    ) -> None:
+        """Ignore the failures of a service's targets while too many of them fail."""
+        if not self.features.failing_target_detection:
+            return
+        if not apply_ejection_limit(targets, agents=self.agents, now=now):
+            self.ignored_services.discard(service)
+        elif service not in self.ignored_services:
+            self.ignored_services.add(service)
+            log_event("failing_ignored", service=service, targets=len(targets))
--- a/plantainyoke/placement/__init__.py
+++ b/plantainyoke/placement/__init__.py
@@ -17,6 +17,7 @@
     select_by_rendezvous,
     select_idle_service,
 )
+from plantainyoke.placement._ejection_limit import apply_ejection_limit
 from plantainyoke.placement._waiting import WaitingFlow, WaitingRoom
 from plantainyoke.placement._work_time import WorkTimeEstimator
 
@@ -29,6 +30,7 @@
     "WaitingFlow",
     "WaitingRoom",
     "WorkTimeEstimator",
+    "apply_ejection_limit",
     "rank_services",
     "select_by_rendezvous",
     "is_mostly_cold",
--- a/plantainyoke/placement/_admission.py
+++ b/plantainyoke/placement/_admission.py
@@ -208,6 +208,7 @@
         in_flight: int = 0,
         aim_s: float = 0.0,
         is_idempotent: bool = False,
+        ignore_failing: bool = False,
     ) -> FlowRefusal:
         """Admit or refuse one new flow.
 
@@ -233,6 +234,8 @@
         is_idempotent : bool
             Whether the flow may try a failing target, because its caller repeats
             requests.
+        ignore_failing : bool
+            Whether the balancer sees too many failing targets to avoid them.
 
         Returns
         -------
@@ -240,6 +243,10 @@
             NONE if the flow is admitted.
         """
         refusal = self.current_refusal(flows, now)
+        if ignore_failing:
+            self.ejection.record_ignored(now)
+            if refusal == FlowRefusal.FAILING:
+                refusal = FlowRefusal.NONE
         if (
             refusal == FlowRefusal.SILENT
             and now - self.retried_at > SILENT_RETRY_INTERVAL_S
@@ -251,7 +258,7 @@
         target = self.target
         if compute_service_id(target.service) != service:
             return FlowRefusal.SERVICE
-        if self.ejection.is_failing and not is_idempotent:
+        if self.ejection.is_failing and not (is_idempotent or ignore_failing):
             return FlowRefusal.FAILING
         if aim_s and in_flight >= self.max_in_flight:
             return FlowRefusal.BUSY
--- a/plantainyoke/placement/_agents.py
+++ b/plantainyoke/placement/_agents.py
@@ -33,6 +33,9 @@
         Time until which the agent counts as restarting.
     silent_until : float
         Time until which the agent counts as silent unless a message arrives.
+    is_failing_ignored : bool
+        Whether the agent gets flows although its target fails requests, because too
+        many targets do.
     """
 
     load: Load = msgspec.field(default_factory=Load)
@@ -41,11 +44,19 @@
     refused_at: float = 0.0
     leaving_until: float = 0.0
     silent_until: float = 0.0
+    is_failing_ignored: bool = False
 
     def is_silent(self, now: float) -> bool:
         """Return whether the agent timed out recently and sent no message since."""
         return now < self.silent_until
 
+    def is_failing(self, now: float) -> bool:
+        """Return whether the agent stated lately that its target fails requests."""
+        return (
+            self.load.refusal == FlowRefusal.FAILING
+            and now - self.refused_at < REFUSAL_VALID_S
+        )
+
     def busy_share(self, slots: int) -> float:
         """Return the requests in flight and new flows per slot of the target.
 
@@ -65,6 +76,8 @@
         """Return whether the agent is expected to accept a new flow."""
         if now < self.leaving_until or self.is_silent(now):
             return False
+        if self.is_failing_ignored and self.load.refusal == FlowRefusal.FAILING:
+            return True
         refuses = self.load.refusal != FlowRefusal.NONE
         return not (refuses and now - self.refused_at < REFUSAL_VALID_S)
 
--- a/plantainyoke/tests/test_packet_failing_targets.py
+++ b/plantainyoke/tests/test_packet_failing_targets.py
@@ -109,3 +109,15 @@
             assert not sum(caller.failed for caller in callers)
             placed.append([target.received for target in simulation.targets.values()])
         assert placed[0] == placed[1]
+
+    def test_service_of_which_most_targets_fail_is_not_emptied(self):
+        """Refusals by all failing targets would fail every request."""
+        simulation, callers = start(targets=4, sessions=40)
+        for host in (10, 11, 12, 13):
+            simulation.targets[host].reset_share = FAILING_SHARE
+        simulation.advance(3.0)
+        before = count(simulation, "reset.no_target")
+        answered = sum(caller.answered for caller in callers)
+        simulation.advance(4.0)
+        assert sum(caller.answered for caller in callers) - answered > 40
+        assert count(simulation, "reset.no_target") == before
