Count overtaken and stalled requests as failures of a target

Cause: a target that hangs, or never answers some requests, sends no reset.

Change: an agent tracks the requests of routes with an aim. One that slots plus two later requests overtook and that is older than ten work times, or that got no answer for twice the aim and ten work times, is a failure. Such failures eject the target but never reset its idle flows. A long request of a healthy target (seven times the usual time) is not overdue.

--- a/plantainyoke/flows/tests/test_messages.py
+++ b/plantainyoke/flows/tests/test_messages.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from plantainyoke.flows import (
+    IGNORE_FAILING_FLAG,
     MOSTLY_COLD_FLAG,
     FlowRefusal,
     Ingress,
@@ -49,6 +50,7 @@
         body = encode_open_body([1, 2, 3], b"packet")
         assert decode_open_body(3, body) == ([1, 2, 3], b"packet")
         assert decode_open_body(3 | MOSTLY_COLD_FLAG, body) == ([1, 2, 3], b"packet")
+        assert decode_open_body(3 | IGNORE_FAILING_FLAG, body) == ([1, 2, 3], b"packet")
 
     @pytest.mark.parametrize(("count", "size"), [(9, 100), (2, 8), (1, 0)])
     def test_alternates_that_do_not_fit_the_body_are_malformed(self, count, size):
--- a/plantainyoke/outliers/__init__.py
+++ b/plantainyoke/outliers/__init__.py
@@ -6,5 +6,6 @@
 
 from plantainyoke.outliers._ejection import EjectionState
 from plantainyoke.outliers._outcomes import OutcomeKind, OutcomeWindow
+from plantainyoke.outliers._requests import RequestTracker
 
-__all__ = ["EjectionState", "OutcomeKind", "OutcomeWindow"]
+__all__ = ["EjectionState", "OutcomeKind", "OutcomeWindow", "RequestTracker"]
--- a/plantainyoke/outliers/tests/test_ejector.py
+++ b/plantainyoke/outliers/tests/test_ejector.py
@@ -5,7 +5,12 @@
 
 from plantainyoke.flows import FlowRefusal
 from plantainyoke.hashing import compute_service_id
-from plantainyoke.outliers import EjectionState, OutcomeKind, OutcomeWindow
+from plantainyoke.outliers import (
+    EjectionState,
+    OutcomeKind,
+    OutcomeWindow,
+    RequestTracker,
+)
 from plantainyoke.standins import PacketSimulation, write_packet
 
 HOST, RST, ACK, FIN = 10, 2, 32, 128
@@ -174,3 +179,29 @@
             state.start_trial(b"trial", now)
             assert state.record_answer(b"trial", now) == (answers == 3)
         assert not state.is_failing
+
+
+class TestUnansweredRequests:
+    def test_hanging_target_is_ejected_but_keeps_its_idle_flows(self):
+        """Silence is no proof of a fault, so that no open flow is reset."""
+        simulation, callers = start(aim_s=0.2)
+        simulation.targets[HOST].is_alive = False
+        for caller in callers[:3]:
+            caller.send_request()
+        simulation.advance(0.4)
+        assert not simulation.get_agent(HOST).admission.ejection.is_failing
+        simulation.advance(1.0)
+        assert simulation.get_agent(HOST).admission.ejection.is_failing
+        assert not any(caller.reset_at for caller in callers)
+
+    def test_long_request_is_not_overtaken_before_ten_work_times(self):
+        """Three in a hundred requests take seven times as long on a healthy target."""
+        tracker = RequestTracker()
+        tracker.start(b"long", aim_s=0.2, now=0.0)
+        found = []
+        for number in range(1, 13):
+            tracker.start(b"%d" % number, aim_s=0.2, now=number / 10)
+            request, now = tracker.end(b"%d" % number), number / 10
+            if tracker.list_overtaken(request, now, slots=4, work_time_s=0.1):
+                found.append(number)
+        assert found == [11]
--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -216,6 +216,7 @@
                 now=self.now,
                 more_follows=segment.payload_size == self.codec.max_payload_bytes,
             )
+            self.ejector.record_request(held, flow, self.now)
             self.metrics.counters["packet.delivered"] += 1
             self.transport.send_to_target(segment.raw)
             if segment.resets:
--- a/plantainyoke/packet_agent/_ejection.py
+++ b/plantainyoke/packet_agent/_ejection.py
@@ -4,8 +4,15 @@
 decisions are in `plantainyoke.outliers`. Nothing here reads a clock or a socket.
 """
 
-from plantainyoke.flows import FlowKey, FlowRefusal, FlowTable, HeldFlow, Segment
-from plantainyoke.outliers import OutcomeKind, OutcomeWindow
+from plantainyoke.flows import (
+    FlowKey,
+    FlowRefusal,
+    FlowTable,
+    HeldFlow,
+    Segment,
+    get_service_endpoint,
+)
+from plantainyoke.outliers import OutcomeKind, OutcomeWindow, RequestTracker
 from plantainyoke.packet_agent._sender import MessageSender
 from plantainyoke.placement import FlowAdmission
 from plantainyoke.telemetry import Metrics, log_event
@@ -48,6 +55,7 @@
     Attributes
     ----------
     window : OutcomeWindow
+    tracker : RequestTracker
     counts_from : float
         Time from which on failures count, in seconds.
     ticked_at : float
@@ -72,6 +80,7 @@
         self.metrics = metrics
         self.is_enabled = is_enabled
         self.window = OutcomeWindow()
+        self.tracker = RequestTracker()
         self.counts_from = started_at + QUIET_PERIOD_S
         self.ticked_at = started_at
         self.incarnation: tuple[str, int] | None = None
@@ -81,6 +90,14 @@
         """Slots of the target."""
         return self.admission.target.slots if self.admission.target else 1
 
+    def record_request(self, held: HeldFlow, flow: FlowKey, now: float) -> None:
+        """Track the request that a caller's packet completed, if it did."""
+        if not self.is_enabled or held.request_at != now:
+            return
+        route = self.admission.catalogue.routes.get(get_service_endpoint(flow))
+        if route is not None and route.aim_s:
+            self.tracker.start(flow, aim_s=route.aim_s, now=now)
+
     def record_target_packet(
         self, held: HeldFlow, segment: Segment, now: float
     ) -> None:
@@ -90,7 +107,10 @@
         """
         if not self.is_enabled or not held.request_at or held.is_closing:
             return
+        request = self.tracker.requests.get(segment.flow)
         if segment.resets:
+            if request is not None and request.is_failed:
+                return
             if self._is_evidence(held, now):
                 self._record_failure(OutcomeKind.RESET_BY_TARGET, segment.flow, now)
         elif segment.payload_size:
@@ -100,6 +120,7 @@
         """Forget the outcomes of an earlier incarnation of the target."""
         if self.incarnation not in (None, incarnation):
             self.window.clear()
+            self.tracker.requests.clear()
             self.admission.ejection.clear()
         self.incarnation = incarnation
 
@@ -107,6 +128,11 @@
         """Detect pauses, and reset idle flows that were in use before."""
         self._detect_pause(now)
         self.ticked_at = now
+        for flow in self.tracker.requests.keys() - self.flow_table.requests.keys():
+            self.tracker.end(flow)
+        work_time_s = self.admission.estimate_answer_s(0)
+        stalled = self.tracker.list_stalled(now, work_time_s=work_time_s)
+        self._record_unanswered(OutcomeKind.STALLED, stalled, now)
         if self.admission.ejection.is_failing:
             self._reset_idle_flows(now)
 
@@ -126,8 +152,31 @@
         if now - self.ticked_at > MAX_TICK_GAP_S:
             self.counts_from = now + QUIET_PERIOD_S
             self.window.clear()
+            self.tracker.requests.clear()
+
+    def _record_unanswered(
+        self, kind: OutcomeKind, flows: list[FlowKey], now: float
+    ) -> None:
+        for flow in flows:
+            held = self.flow_table.flows.get(flow)
+            if held is None or held.is_closing:
+                continue
+            if self._is_evidence(held, now):
+                self._record_failure(kind, flow, now)
 
     def _record_answer(self, flow: FlowKey, now: float) -> None:
+        request = self.tracker.end(flow)
+        self.tracker.answered_at = now
+        if request is not None:
+            overtaken = self.tracker.list_overtaken(
+                request,
+                now,
+                slots=self.slots,
+                work_time_s=self.admission.estimate_answer_s(0),
+            )
+            self._record_unanswered(OutcomeKind.OVERTAKEN, overtaken, now)
+            if request.is_failed:
+                return
         self.window.record(OutcomeKind.ANSWERED, now, slots=self.slots)
         ejection = self.admission.ejection
         if ejection.is_failing and ejection.record_answer(flow, now):
