Test that a target whose fault has ended gets flows again

Cause: the recovery was tested for its state only, not end to end.

Change: a test ends the fault and opens four new flows a second for 10 s. Tried and dropped: 15 answers of flows that stayed open as a second way to recover; the agent had reset all but one of them, so that it took longer than 12 s.

--- a/plantainyoke/tests/test_packet_failing_targets.py
+++ b/plantainyoke/tests/test_packet_failing_targets.py
@@ -101,6 +101,17 @@
         opened |= {flow for _, flow in simulation.targets[10].opened_flows}
         assert set(resets) <= opened
 
+    def test_target_whose_fault_ends_gets_flows_again(self):
+        simulation, _ = start()
+        simulation.targets[10].reset_share = FAILING_SHARE
+        simulation.advance(4.0)
+        simulation.targets[10].reset_share = 0.0
+        rng = random.Random(1)
+        for _ in range(40):  # trials need new flows
+            Session(simulation, rng=rng, interval_s=0.1)
+            simulation.advance(0.25)
+        assert count(simulation, "outlier.recovered") == 1
+
     def test_calm_even_load_is_served_as_without_detection(self):
         placed = []
         for detection in (False, True):
