--- a/plantainyoke/placement/__init__.py
+++ b/plantainyoke/placement/__init__.py
@@ -18,7 +18,10 @@
     select_idle_service,
 )
 from plantainyoke.placement._ejection_limit import apply_ejection_limit
-from plantainyoke.placement._expected_time import rank_by_expected_time
+from plantainyoke.placement._expected_time import (
+    measure_imbalance,
+    rank_by_expected_time,
+)
 from plantainyoke.placement._waiting import WaitingFlow, WaitingRoom
 from plantainyoke.placement._work_time import WorkTimeEstimator
 
@@ -38,4 +41,5 @@
     "select_idle_service",
     "rank_targets",
     "rank_by_expected_time",
+    "measure_imbalance",
 ]
