Probe the flows of a target that returned a packet of a held flow

Cause: a target that restarts loses its flows without a reset, and each caller of an idle flow finds out by losing a request, which it may not repeat unless it is idempotent.

Change: an agent whose target returned a packet of a held flow sends it copies of the callers' latest packets without payload of the flows opened before (200 per tick of 0.25 s, the longest idle first, no flow twice within a second), and resets a flow when the target returns its copy. `features.lost_flow_probes` turns this off. A returned first packet of a held flow no longer resets the flow: a draining target returns late copies of first packets, too.

--- a/plantainyoke/flows/_flow_table.py
+++ b/plantainyoke/flows/_flow_table.py
@@ -41,6 +41,9 @@
     expected_sequence : int or None
         Sequence of the data that the target expects next, None before its first
         acknowledgement.
+    idle_packet : bytes
+        The caller's latest packet without payload, 36 bytes; empty if there is none of
+        which a copy can be sent without an effect on the flow.
     """
 
     opened_at: float
@@ -52,6 +55,7 @@
     acknowledged: int = 0
     is_closing: bool = False
     expected_sequence: int | None = None
+    idle_packet: bytes = b""
 
     def is_new_data(self, segment: Segment) -> bool:
         """Return whether a caller's packet has data that the target does not have.
--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -24,11 +24,13 @@
     decode_flow_key,
     decode_knowledge,
     decode_load_body,
+    decode_open_body,
     encode_load_body,
     format_flow,
 )
 from plantainyoke.packet_agent._finder import HolderFinder
 from plantainyoke.packet_agent._incarnation import IncarnationTracker
+from plantainyoke.packet_agent._lost_flows import LostFlowProber
 from plantainyoke.packet_agent._observation import TargetObserver
 from plantainyoke.packet_agent._opening import FlowOpener
 from plantainyoke.packet_agent._sender import AgentTransport, MessageSender
@@ -126,6 +128,12 @@
             metrics=metrics,
             load=lambda: self.observer.measure_load(self.now),
         )
+        self.lost_flows = LostFlowProber(
+            flow_table=self.flow_table,
+            send_to_target=transport.send_to_target,
+            metrics=metrics,
+            is_enabled=features.lost_flow_probes,
+        )
         self.opener = FlowOpener(
             catalogue=catalogue,
             admission=admission,
@@ -184,6 +192,8 @@
         handler(message, source)
 
     def _receive_open(self, message: Message, source: int) -> None:
+        _, packet = decode_open_body(message.detail, message.body)
+        self.lost_flows.record_first_packet(self.codec.peek_flow_key(packet)[0])
         self.opener.receive_open(message, self.now)
 
     def _receive_forward(self, message: Message, source: int) -> None:
@@ -206,6 +216,7 @@
                 now=self.now,
                 more_follows=segment.payload_size == self.codec.max_payload_bytes,
             )
+            self.lost_flows.record_caller_packet(held, segment)
             self.metrics.counters["packet.delivered"] += 1
             self.transport.send_to_target(segment.raw)
             if segment.resets:
@@ -393,10 +404,12 @@
                 segment, probe.requester, probe.ingress, is_search=probe.is_search
             )
             return
-        held = self.flow_table.remove(flow)
-        if held is not None:
+        packet = self.codec.clear_bounced_flag(segment.raw)
+        if flow in self.flow_table.flows and self.lost_flows.is_proof(segment, packet):
             # The target held the flow and lost it, so it was started again.
+            held = self.flow_table.remove(flow)
             self.sender.reset_flow(flow, segment.acknowledged, "target_lost_flow")
+            self.lost_flows.record_lost_flow(flow, held, self.now)
             return
         self.metrics.counters["drop.bounced"] += 1
 
@@ -459,3 +472,4 @@
         for flow in stale:
             del self.target_probes[flow]
         self.incarnations.reset_lost_flows()
+        self.lost_flows.tick(now)
