Relay messages through a third zone during a partial partition

Cause: while two zones cannot reach each other, each request on a flow from the one to a target of the other fails, although a third zone reaches both.

Change: a balancer whose messages to an agent of another zone are not answered (a timeout of OPEN or FIND, or 0.6 s without a message from that zone after a packet was sent there) sends them in RELAY through an agent of a third zone that is heard; the agent's answers and load reports return over the same one. A relay forwards once, only between a published or recently departed agent and a balancer that it hears. The next relay is tried after 0.4 s without an answer; after three the detour is suspended for 5 s. The direct path is tried once per second with a query, and a direct message ends the detour. `features.relay_through_third_zone` turns this off.

--- a/plantainyoke/flows/__init__.py
+++ b/plantainyoke/flows/__init__.py
@@ -30,6 +30,12 @@
     encode_open_body,
     encode_open_detail,
 )
+from plantainyoke.flows._relay import (
+    RelayedMessage,
+    add_hop,
+    decode_relay_body,
+    encode_relay_body,
+)
 from plantainyoke.flows._search import WIDEN_DELAY_S, Search, SearchTable
 from plantainyoke.flows._segment import (
     FLOW_KEY_BYTES,
@@ -60,6 +66,10 @@
     "Message",
     "MalformedMessageError",
     "FlowRefusal",
+    "RelayedMessage",
+    "add_hop",
+    "decode_relay_body",
+    "encode_relay_body",
     "Search",
     "SearchTable",
     "WIDEN_DELAY_S",
--- a/plantainyoke/flows/_messages.py
+++ b/plantainyoke/flows/_messages.py
@@ -45,6 +45,7 @@
     WAITING = 13  # answer to OPEN: the flow waits until the target has capacity
     QUERY = 14  # does the receiver's target hold the flow?
     QUERY_ANSWER = 15  # answer to QUERY and to PROBE
+    RELAY = 16  # message for another host, see `_relay`
 
 
 class FlowRefusal(IntEnum):
@@ -170,7 +171,7 @@
     magic, kind, hops, detail, host, zone, service, revision = HEADER.unpack_from(
         datagram
     )
-    if magic != MAGIC or not MessageKind.OPEN <= kind <= MessageKind.QUERY_ANSWER:
+    if magic != MAGIC or not MessageKind.OPEN <= kind <= MessageKind.RELAY:
         raise MalformedMessageError(
             f"unknown magic number {magic:#x} or message kind {kind}"
         )
--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -33,33 +33,15 @@
 from plantainyoke.packet_agent._lost_flows import LostFlowProber
 from plantainyoke.packet_agent._observation import TargetObserver
 from plantainyoke.packet_agent._opening import FlowOpener
+from plantainyoke.packet_agent._relay import AgentRelay
 from plantainyoke.packet_agent._sender import AgentTransport, MessageSender
+from plantainyoke.packet_agent._target_probes import TargetProbe, expire_target_probes
 from plantainyoke.packet_node import ALL_FEATURES, FeatureSettings, PacketCodec
 from plantainyoke.placement import FlowAdmission
 from plantainyoke.telemetry import Metrics, log_event
 
 MAX_REPORTS_PER_INTERVAL = 8  # 2 KB/s at four reports a second
-ACTIVITY_TIMEOUT_S = 2.0  # then balancers get no reports and target probes expire
-
-
-class TargetProbe(msgspec.Struct):
-    """A packet sent to the target to find out whether it holds the flow.
-
-    Attributes
-    ----------
-    requester : int
-        Host that sent the packet to this agent.
-    ingress : Ingress
-    sent_at : float
-        Time at which the packet was sent to the target, in seconds.
-    is_search : bool
-        Whether the packet came in PROBE, so that a denial does not return it.
-    """
-
-    requester: int
-    ingress: Ingress
-    sent_at: float
-    is_search: bool
+ACTIVITY_TIMEOUT_S = 2.0  # then balancers get no reports
 
 
 class PacketDelivery:
@@ -120,6 +102,16 @@
         self.target_probes: dict[FlowKey, TargetProbe] = {}
         self.balancers: dict[int, float] = {}
         self.now = 0.0
+        self.relay = AgentRelay(
+            host=host,
+            catalogue=catalogue,
+            send_to_host=transport.send_to_host,
+            balancers=self.balancers,
+            report_load=lambda balancer: self._send_load_reports([balancer]),
+            metrics=metrics,
+            is_enabled=features.relay_through_third_zone,
+        )
+        transport = msgspec.structs.replace(transport, send_to_host=self.relay.send)
         self.sender = MessageSender(
             host=host,
             catalogue=catalogue,
@@ -180,6 +172,12 @@
     def receive_message(self, message: Message, source: int, now: float) -> None:
         """Handle one datagram of a balancer or another agent."""
         self.now = now
+        is_relayed = message.kind == MessageKind.RELAY
+        if is_relayed:
+            relayed = self.relay.receive(message, source, now)
+            if relayed is None:
+                return
+            message, source = relayed
         handler = self.handlers.get(message.kind)
         if handler is None:
             self.metrics.counters["drop.message_unexpected"] += 1
@@ -187,8 +185,9 @@
         if message.hops > MAX_HOPS:
             self.metrics.counters["drop.hops"] += 1
             return
-        if message.ingress.host == source:
+        if message.ingress.host == source and not is_relayed:
             self.balancers[source] = now
+            self.relay.record_direct(source)
         handler(message, source)
 
     def _receive_open(self, message: Message, source: int) -> None:
@@ -421,13 +420,19 @@
         for balancer, heard_at in list(self.balancers.items()):
             if self.now - heard_at > ACTIVITY_TIMEOUT_S:
                 del self.balancers[balancer]
-        body = encode_load_body(b"", self.observer.measure_load(now))
-        for balancer in list(self.balancers)[:MAX_REPORTS_PER_INTERVAL]:
+        direct = [one for one in self.balancers if one not in self.relay.detours]
+        batch = direct[:MAX_REPORTS_PER_INTERVAL]
+        self._send_load_reports(batch)
+        for balancer in batch:
+            # Move to the end: balancers left out of this batch come first next time.
+            self.balancers[balancer] = self.balancers.pop(balancer)
+
+    def _send_load_reports(self, balancers: list[int]) -> None:
+        body = encode_load_body(b"", self.observer.measure_load(self.now))
+        for balancer in balancers:
             self.sender.send(
                 MessageKind.LOAD_REPORT, balancer, body, ingress=Ingress(balancer)
             )
-            # Move to the end: balancers left out of this batch come first next time.
-            self.balancers[balancer] = self.balancers.pop(balancer)
 
     def announce_leaving(self) -> None:
         """Refuse new flows, and tell balancers that this process stops.
@@ -464,12 +469,7 @@
         self.flow_table.expire_requests(now, self.opener.get_timeout_s)
         self.opener.admit_waiting(now)
         self.finder.tick(self.flow_table.flows, now)
-        stale = [
-            flow
-            for flow, probe in self.target_probes.items()
-            if now - probe.sent_at > ACTIVITY_TIMEOUT_S
-        ]
-        for flow in stale:
-            del self.target_probes[flow]
+        expire_target_probes(self.target_probes, now)
         self.incarnations.reset_lost_flows()
         self.lost_flows.tick(now)
+        self.relay.expire(now)
--- a/plantainyoke/packet_balancer/_program.py
+++ b/plantainyoke/packet_balancer/_program.py
@@ -132,6 +132,7 @@
             now = loop.time()
             if self.node.check_for_pause():
                 steering.agents.clear_silence()
+                steering.detours.clear_silence()
             if steering.flow_cache.unresolved:
                 steering.tick(now)
             if now >= expire_at:
--- a/plantainyoke/packet_balancer/_sender.py
+++ b/plantainyoke/packet_balancer/_sender.py
@@ -14,6 +14,7 @@
     format_flow,
 )
 from plantainyoke.network import format_host
+from plantainyoke.packet_balancer._detours import DetourTable
 from plantainyoke.packet_balancer._flow_cache import CachedFlow, FlowCache
 from plantainyoke.packet_node import PacketCodec, send_reset
 from plantainyoke.placement import AgentTable
@@ -48,6 +49,8 @@
     metrics : Metrics
     flow_cache : FlowCache
     agents : AgentTable
+    detours : DetourTable
+        Sends the messages to agents.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         metrics: Metrics,
         flow_cache: FlowCache,
         agents: AgentTable,
+        detours: DetourTable,
     ) -> None:
         self.ingress = ingress
         self.catalogue = catalogue
@@ -68,6 +72,7 @@
         self.metrics = metrics
         self.flow_cache = flow_cache
         self.agents = agents
+        self.detours = detours
         self.header_revision = -1
         self.forward_header = b""
 
@@ -89,7 +94,7 @@
             service=service,
             detail=detail,
         )
-        self.transport.send_to_agent(host, datagram)
+        self.detours.send(host, datagram)
 
     def forward(self, host: int, packet: bytes) -> None:
         """Forward a caller's packet to the agent that holds its flow."""
@@ -101,7 +106,7 @@
                 ingress=self.ingress,
                 revision=self.header_revision,
             )
-        self.transport.send_to_agent(host, self.forward_header + packet)
+        self.detours.send(host, self.forward_header + packet)
 
     def reset_flow(self, segment: Segment, reason: str) -> None:
         """Remove a flow from the cache and send a reset to its caller."""
--- a/plantainyoke/packet_balancer/_steering.py
+++ b/plantainyoke/packet_balancer/_steering.py
@@ -17,6 +17,7 @@
 )
 from plantainyoke.hashing import compute_zone_id
 from plantainyoke.network import format_host
+from plantainyoke.packet_balancer._detours import DetourTable
 from plantainyoke.packet_balancer._flow_cache import MAX_ATTEMPTS, FlowCache
 from plantainyoke.packet_balancer._locator import HolderLocator
 from plantainyoke.packet_balancer._placer import FlowPlacer
@@ -47,6 +48,7 @@
     agents : AgentTable
         States of the agents, by their messages to this balancer.
     flow_cache : FlowCache
+    detours : DetourTable
     """
 
     def __init__(
@@ -64,14 +66,25 @@
         self.metrics = metrics
         self.agents = AgentTable()
         self.flow_cache = FlowCache()
+        ingress = Ingress(host, compute_zone_id(zone))
+        self.detours = DetourTable(
+            ingress=ingress,
+            zone=zone,
+            catalogue=catalogue,
+            agents=self.agents,
+            send_to_agent=transport.send_to_agent,
+            metrics=metrics,
+            is_enabled=features.relay_through_third_zone,
+        )
         self.sender = BalancerSender(
-            ingress=Ingress(host, compute_zone_id(zone)),
+            ingress=ingress,
             catalogue=catalogue,
             transport=transport,
             codec=codec,
             metrics=metrics,
             flow_cache=self.flow_cache,
             agents=self.agents,
+            detours=self.detours,
         )
         parts = dict(
             zone=zone,
@@ -94,6 +107,7 @@
             MessageKind.LOAD_REPORT: self._receive_load_report,
             MessageKind.LEAVING: self._receive_leaving,
             MessageKind.WAITING: self.placer.receive_waiting,
+            MessageKind.QUERY_ANSWER: self._receive_query_answer,
         }
 
     def try_forward(self, flow: FlowKey, packet: bytes, now: float) -> bool:
@@ -115,6 +129,7 @@
         entry = self.flow_cache.get(flow)
         if entry is None or not entry.holder:
             return False
+        self.detours.now = now
         self.flow_cache.record_packet(flow, entry, now)
         self.metrics.counters["packet.forwarded"] += 1
         self.sender.forward(entry.holder, packet)
@@ -122,6 +137,7 @@
 
     def receive_from_caller(self, segment: Segment, now: float) -> None:
         """Forward a packet of a caller, place its flow, or find its holder."""
+        self.detours.now = now
         entry = self.flow_cache.get(segment.flow)
         if entry is not None:
             self.flow_cache.record_packet(segment.flow, entry, now)
@@ -135,6 +151,14 @@
 
     def receive_message(self, message: Message, source: int, now: float) -> None:
         """Handle one datagram of an agent."""
+        self.detours.now = now
+        if message.kind == MessageKind.RELAY:
+            relayed = self.detours.receive(message, source)
+            if relayed is None:
+                return
+            message, source = relayed
+        else:
+            self.detours.record_direct(source)
         handler = self.handlers.get(message.kind)
         if handler is None:
             self.metrics.counters["drop.message_unexpected"] += 1
@@ -143,6 +167,7 @@
 
     def tick(self, now: float) -> None:
         """Retry the placements and inquiries whose deadline has passed."""
+        self.detours.now = now
         for flow, entry in self.flow_cache.list_due(now):
             segment = entry.pending_segment
             if segment is None or entry.attempts >= MAX_ATTEMPTS:
@@ -160,6 +185,10 @@
         _, load = decode_load_body(message.body)
         self.agents.record_load(source, load, now)
 
+    def _receive_query_answer(self, message: Message, source: int, now: float) -> None:
+        """Handle the answer to a query that tried the direct path to an agent."""
+        self.agents.record_message(source, now)
+
     def _receive_leaving(self, message: Message, source: int, now: float) -> None:
         self.agents.record_leaving(source, now)
         log_event("agent_leaving", agent=format_host(source))
