Reset flows with an idempotent request at a silent target

Cause: callers of a target that hangs or dies learn of it only at their own timeout, when no time is left to repeat the request elsewhere.

`lost_flow_probes` turns this off.

--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -35,6 +35,7 @@
 from plantainyoke.packet_agent._opening import FlowOpener
 from plantainyoke.packet_agent._relay import AgentRelay
 from plantainyoke.packet_agent._sender import AgentTransport, MessageSender
+from plantainyoke.packet_agent._silent_target import SilentTargetDetector
 from plantainyoke.packet_agent._target_probes import TargetProbe, expire_target_probes
 from plantainyoke.packet_node import ALL_FEATURES, FeatureSettings, PacketCodec
 from plantainyoke.placement import FlowAdmission
@@ -141,6 +142,13 @@
             count_waiting=lambda: len(self.opener.waiting_room),
             metrics=metrics,
         )
+        self.silent_target = SilentTargetDetector(
+            admission=admission,
+            flow_table=self.flow_table,
+            sender=self.sender,
+            started_at=started_at,
+            is_enabled=features.lost_flow_probes,
+        )
         self.incarnations = IncarnationTracker(
             admission=admission,
             flow_table=self.flow_table,
@@ -153,7 +161,7 @@
             catalogue=catalogue,
             sender=self.sender,
             metrics=metrics,
-            probe_target=self._probe_target,
+            probe_target=lambda segment, probe: self._deliver(segment, probe, host),
         )
         self.handlers = {
             MessageKind.OPEN: self._receive_open,
@@ -343,14 +351,12 @@
     def _receive_register_holder(self, message: Message, source: int) -> None:
         self.finder.record_holder(decode_flow_key(message.body), source, self.now)
 
-    def _probe_target(self, segment: Segment, message: Message) -> None:
-        self._deliver(segment, message, self.host)
-
     # Packets of the target.
 
     def receive_from_target(self, segment: Segment, now: float) -> None:
         """Handle one packet that the target sent."""
         self.now = now
+        self.silent_target.record_target_packet(now)
         self._handle_target_packet(segment)
         if self.opener.waiting_room.flows:
             self.opener.admit_waiting(now)
@@ -383,8 +389,7 @@
         probe = self.target_probes.pop(flow, None)
         ingress = probe.ingress if probe else Ingress()
         held = self._add_held(flow, ingress)
-        requester = probe.requester if probe else 0
-        self.sender.send_held(flow, ingress, requester)
+        self.sender.send_held(flow, ingress, probe.requester if probe else 0)
         self.metrics.counters["flow.recovered"] += 1
         self.finder.searches.finish(flow)
         return held
--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -143,6 +143,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now = loop.time()
+            delivery.silent_target.check(now)
             if delivery.finder.searches.running:
                 delivery.finder.repeat_queries(now)
             if now >= report_at:
