Start searches of packets with data before those without

Cause: after an outage an agent starts a search for every open flow within a second, and callers that wait for an answer queue behind the searches of idle flows.

Packets with data are searched for at once.

A trial with a limit of 32 searches in progress, instead of a rate, failed: searches whose packets need no answer stay in progress for 3 s, and the others waited for them (test_finder, TestOrderOfSearches).

--- a/plantainyoke/packet_agent/_finder.py
+++ b/plantainyoke/packet_agent/_finder.py
@@ -27,6 +27,7 @@
     get_service_endpoint,
 )
 from plantainyoke.network import format_host
+from plantainyoke.packet_agent._deferred_searches import DeferredSearches
 from plantainyoke.packet_agent._sender import MessageSender
 from plantainyoke.placement import select_by_rendezvous
 from plantainyoke.telemetry import Metrics, log_event
@@ -56,6 +57,8 @@
     holder_table : HolderTable
         Pointers that this agent keeps as a home.
     searches : SearchTable
+    deferred : DeferredSearches
+        Searches that start after those of packets with data.
     homes_to_update : list of bytes
         Flows of this agent's target whose homes may have changed.
     refreshed_at : float
@@ -79,6 +82,7 @@
         self.probe_target = probe_target
         self.holder_table = HolderTable()
         self.searches = SearchTable()
+        self.deferred = DeferredSearches()
         self.homes_to_update: list[FlowKey] = []
         self.refreshed_at = 0.0
 
@@ -229,6 +233,10 @@
             self.metrics.counters["find.not_loaded"] += 1
             return
         search = self.searches.get_active(flow, now)
+        if search is None and self.deferred.try_defer(segment, ingress, hops, now):
+            self.metrics.counters["search.deferred"] += 1
+            self.sender.send_flow(MessageKind.SEARCHING, ingress.host, flow, ingress)
+            return
         if search is None:
             search = self._start_search(segment, ingress, hops, now)
             queried = search.unanswered
@@ -271,7 +279,12 @@
         return search
 
     def repeat_queries(self, now: float) -> None:
-        """Widen the running searches, and repeat the queries that were not answered."""
+        """Widen the running searches, and repeat the queries that were not answered.
+
+        A batch of the deferred searches starts.
+        """
+        for due in self.deferred.take_due(now):
+            self._search_holder(due.segment, due.ingress, due.hops, now)
         for flow, search in tuple(self.searches.running.items()):
             if search.deferred and now - search.started_at > WIDEN_DELAY_S:
                 self._query_hosts(search, search.widen(now))
--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -144,7 +144,7 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             now = loop.time()
             delivery.silent_target.check(now)
-            if delivery.finder.searches.running:
+            if delivery.finder.searches.running or delivery.finder.deferred.waiting:
                 delivery.finder.repeat_queries(now)
             if now >= report_at:
                 report_at = now + REPORT_INTERVAL_S
--- a/plantainyoke/packet_agent/tests/test_finder.py
+++ b/plantainyoke/packet_agent/tests/test_finder.py
@@ -245,3 +245,35 @@
         simulation.advance(2.0)
         assert [caller.reset_at for caller in callers] == [None] * len(callers)
         assert all(caller.last_answered for caller in callers)
+
+
+class TestOrderOfSearches:
+    def test_packets_with_data_are_searched_for_before_those_without(self):
+        """After an outage callers that wait queued behind searches of idle flows."""
+        simulation = PacketSimulation({"orders": 6}, balancers=1)
+        callers = [simulation.open_flow() for _ in range(300)]
+        simulation.advance(1.0)
+        agents = [simulation.get_agent(host) for host in simulation.targets]
+        idle_packets = [
+            held.idle_packet
+            for agent in agents
+            for held in agent.flow_table.flows.values()
+        ]
+        simulation.restart(*simulation.processes)
+        for packet in idle_packets:
+            simulation.send_from_caller(packet)
+        agents = [simulation.get_agent(host) for host in simulation.targets]
+        simulation.advance(0.006)
+        assert any(agent.finder.deferred.waiting for agent in agents)
+        waiting = callers[:20]
+        for caller in waiting:
+            caller.send_request()
+        simulation.advance(0.1)
+        assert all(caller.last_answered == 1 for caller in waiting)
+        simulation.advance(1.5)
+        assert not any(agent.finder.deferred.waiting for agent in agents)
+        for caller in callers:
+            caller.send_request()
+        simulation.advance(1.0)
+        assert all(caller.reset_at is None for caller in callers)
+        assert all(c.last_answered == c.last_requested for c in callers)
