--- a/plantainyoke/flows/__init__.py
+++ b/plantainyoke/flows/__init__.py
@@ -31,6 +31,12 @@
     encode_open_body,
     encode_open_detail,
 )
+from plantainyoke.flows._relay import (
+    RelayedMessage,
+    add_hop,
+    decode_relay_body,
+    encode_relay_body,
+)
 from plantainyoke.flows._search import (
     MAX_REPEAT_DELAY_S,
     WIDEN_DELAY_S,
@@ -67,6 +73,10 @@
     "Message",
     "MalformedMessageError",
     "FlowRefusal",
+    "RelayedMessage",
+    "add_hop",
+    "decode_relay_body",
+    "encode_relay_body",
     "Search",
     "SearchTable",
     "MAX_REPEAT_DELAY_S",
--- a/plantainyoke/flows/_flow_table.py
+++ b/plantainyoke/flows/_flow_table.py
@@ -44,6 +44,9 @@
     is_reopened : bool
         Whether its caller's address sent another first packet: it may have lost the
         flow, and the target may then reset it.
+    idle_packet : bytes
+        The caller's latest packet without payload, 36 bytes; empty if there is none of
+        which a copy can be sent without an effect on the flow.
     """
 
     opened_at: float
@@ -56,6 +59,7 @@
     is_closing: bool = False
     expected_sequence: int | None = None
     is_reopened: bool = False
+    idle_packet: bytes = b""
 
     def is_new_data(self, segment: Segment) -> bool:
         """Return whether a caller's packet has data that the target does not have.
--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -143,7 +143,8 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now = loop.time()
-            if delivery.finder.searches.running:
+            delivery.silent_target.check(now)
+            if delivery.finder.searches.running or delivery.finder.deferred.waiting:
                 delivery.finder.repeat_queries(now)
             if now >= report_at:
                 report_at = now + REPORT_INTERVAL_S
