Check an operators' configuration before it is sent

Cause: plantainyokectl check knew service files and settings only; an error in the configuration of the packet path was found by the processes, which reject it as a whole.

Found on the way: a configuration or target entry nested 100,000 levels deep raised RecursionError in the reader of the store instead of EntryError; an integer above 64 bits was accepted; YAML values such as 2001-99-99 ended the check of service files with a traceback. All are errors of the input now.

--- a/plantainyoke/catalogue/__init__.py
+++ b/plantainyoke/catalogue/__init__.py
@@ -8,6 +8,13 @@
 from plantainyoke.catalogue._catalogue import Catalogue
 from plantainyoke.catalogue._change_builder import ChangeBuilder, StoreUpdate
 from plantainyoke.catalogue._follower import CatalogueFollower
+from plantainyoke.catalogue._pages import (
+    PAGE_ENTRIES,
+    ConfigurationPage,
+    ServiceCapacity,
+    build_page,
+    join_pages,
+)
 from plantainyoke.catalogue._subscription import CatalogueServer
 from plantainyoke.catalogue._types import (
     CatalogueChange,
@@ -25,6 +32,11 @@
     "CatalogueFollower",
     "CatalogueServer",
     "CatalogueChange",
+    "ConfigurationPage",
+    "PAGE_ENTRIES",
+    "ServiceCapacity",
+    "build_page",
+    "join_pages",
     "Position",
     "RouteConfiguration",
     "StoreUpdate",
--- a/plantainyoke/cli/queries/_query.py
+++ b/plantainyoke/cli/queries/_query.py
@@ -1,8 +1,8 @@
 """HTTP queries to the control address of a running process."""
 
+import http.client
 import json
 import sys
-import urllib.error
 import urllib.parse
 import urllib.request
 
@@ -16,6 +16,10 @@
 QUERY_TIMEOUT_S = 3.0
 
 
+class QueryError(Exception):
+    """A process does not answer a query, or not with JSON."""
+
+
 def add_control_argument(parser) -> None:
     """Add ``--control``, the address of the process to query."""
     parser.add_argument(
@@ -44,14 +48,29 @@
     int
         ``EXIT_FAILURE`` if the process does not answer or answers with an error.
     """
+    try:
+        answer = json.loads(fetch_answer(control, query, parameters))
+    except (QueryError, ValueError) as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILURE
+    print(json.dumps(answer, indent=2))
+    return EXIT_FAILURE if "error" in answer else EXIT_SUCCESS
+
+
+def fetch_answer(control: Address, query: str, parameters: dict[str, str]) -> bytes:
+    """Return the answer of a process to a query.
+
+    Raises
+    ------
+    QueryError
+        If it does not answer in time.
+    """
     encoded = urllib.parse.urlencode(parameters)
     url = f"http://{format_address(control)}/{query}?{encoded}"
     try:
         with urllib.request.urlopen(url, timeout=QUERY_TIMEOUT_S) as response:
-            answer = json.load(response)
-    except (urllib.error.URLError, TimeoutError, ValueError, OSError) as error:
+            return response.read()
+    except (OSError, http.client.HTTPException) as error:
         reason = getattr(error, "reason", error)
-        print(f"{format_address(control)} does not answer: {reason}", file=sys.stderr)
-        return EXIT_FAILURE
-    print(json.dumps(answer, indent=2))
-    return EXIT_FAILURE if "error" in answer else EXIT_SUCCESS
+        text = f"{format_address(control)} does not answer: {reason}"
+        raise QueryError(text) from error
--- a/plantainyoke/configuration/_validation.py
+++ b/plantainyoke/configuration/_validation.py
@@ -19,6 +19,17 @@
 
 Model = TypeVar("Model", bound=BaseModel)
 
+# The loader raises the built-in exceptions for values that do not match their tags,
+# such as the date 2001-99-99, and for values that are nested too deeply.
+YAML_ERRORS = (
+    yaml.YAMLError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 
 
@@ -73,7 +84,7 @@
     except (OSError, UnicodeDecodeError) as error:
         reason = getattr(error, "strerror", None) or "not a UTF-8 text file"
         return Failure([FileProblem(path.name, "", reason)])
-    except (yaml.YAMLError, TypeError) as error:
+    except YAML_ERRORS as error:
         return Failure([_convert_yaml_error(path, error)])
     try:
         return Success(model.model_validate(content))
--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -60,6 +60,7 @@
             recovery_until=0.0 if settings.is_bootstrap else float("inf"),
             features=settings.features,
         )
+        node.get_work_time_s = self._get_work_time_s
         node.catalogue.listeners.append(self._handle_change)
 
     async def start(self) -> None:
@@ -112,6 +113,11 @@
             answer["idle_s"] = round(now - held.last_seen_at, 3)
         return answer
 
+    def _get_work_time_s(self, host: int) -> float:
+        """Return the work time of this agent's target, 0 for other hosts."""
+        is_own = host == self.node.settings.host
+        return self.admission.work_time.work_time_s if is_own else 0.0
+
     def _receive_from_target(self, datagram: bytes, source: Address) -> None:
         node = self.node
         try:
--- a/plantainyoke/packet_balancer/_program.py
+++ b/plantainyoke/packet_balancer/_program.py
@@ -53,6 +53,7 @@
             metrics=node.metrics,
             features=node.settings.features,
         )
+        node.get_work_time_s = self._get_work_time_s
 
     async def start(self) -> None:
         """Open the sockets, wait for a catalogue, and start to forward packets."""
@@ -107,6 +108,11 @@
             "idle_s": round(self.node.loop.time() - entry.last_seen_at, 3),
         }
 
+    def _get_work_time_s(self, host: int) -> float:
+        """Return the work time that an agent reported last, 0 if it reported none."""
+        agent = self.steering.agents.agents.get(host)
+        return agent.load.work_time_us / 1e6 if agent else 0.0
+
     def _receive_packet(self, datagram: bytes, source: Address) -> None:
         node = self.node
         now = self.last_packet_at = node.loop.time()
--- a/plantainyoke/packet_node/_node.py
+++ b/plantainyoke/packet_node/_node.py
@@ -15,8 +15,10 @@
 from plantainyoke.catalogue import (
     Catalogue,
     CatalogueFollower,
+    ConfigurationPage,
     Position,
     StoreUpdate,
+    build_page,
 )
 from plantainyoke.flows import (
     FlowFormatError,
@@ -42,6 +44,7 @@
 from plantainyoke.telemetry import Metrics, TaskSet, format_metrics, log_event
 
 READY_PATH = "/api/ready"
+MAX_PAGE_DIGITS = 9  # far above the pages of any configuration
 METRICS_PORT = 9464  # usual port of metrics exporters; the deploy file has the same
 
 
@@ -68,6 +71,7 @@
         """Close the connection."""
 
 
+Query = Callable[[dict[str, str]], dict | msgspec.Struct]
 MessageHandler = Callable[[Message, int, float], None]
 
 
@@ -99,6 +103,9 @@
     addresses : dict of int to Address
         Cached addresses of other processes, by host.
     pause_detector : BootClockPauseDetector
+    get_work_time_s : callable
+        Returns the time of a request at the target of a host as the role measures it,
+        0 if unknown.
     """
 
     def __init__(
@@ -119,12 +126,14 @@
         self.is_ready = False
         self.socket: DatagramSocket | None = None
         self.follower: CatalogueFollower | None = None
-        self.queries: dict[str, Callable[[dict[str, str]], dict]] = {}
+        self.queries: dict[str, Query] = {}
         self.addresses: dict[int, Address] = {}
         self.pause_detector = BootClockPauseDetector()
         self.loop = asyncio.get_running_loop()
         self.tasks = TaskSet(self.metrics)
+        self.get_work_time_s: Callable[[int], float] = lambda _: 0.0
         self.queries["/status"] = lambda _: self.describe()
+        self.queries["/configuration"] = self._serve_configuration_page
 
     def get_address(self, host: int) -> Address:
         """Return the address at which a host's process receives messages and links."""
@@ -243,7 +252,15 @@
             "counters": dict(sorted(self.metrics.counters.items())),
         }
 
-    def _make_json_handler(self, query: Callable[[dict[str, str]], dict]):
+    def _serve_configuration_page(
+        self, parameters: dict[str, str]
+    ) -> ConfigurationPage | dict:
+        page = parameters.get("page", "0")
+        if not (page.isascii() and page.isdigit() and len(page) <= MAX_PAGE_DIGITS):
+            return {"error": "page is not a number"}
+        return build_page(self.catalogue, int(page), self.get_work_time_s)
+
+    def _make_json_handler(self, query: Query):
         def answer(parameters: dict[str, str]) -> Response:
             body = msgspec.json.encode(query(parameters))
             return Response(200, body, {"content-type": "application/json"})
--- a/plantainyoke/platform/_entries.py
+++ b/plantainyoke/platform/_entries.py
@@ -9,60 +9,25 @@
 
 import msgspec
 
-from plantainyoke.catalogue import (
-    Route,
-    RouteConfiguration,
-    RouteShare,
-    ServiceLimits,
-    Target,
-)
+from plantainyoke.catalogue import RouteConfiguration, Target
 from plantainyoke.network import parse_address, parse_host
+from plantainyoke.platform._configuration import (
+    ConfigurationEntry,
+    translate_route,
+    translate_service,
+)
 
 CONFIGURATION_KEY = "op/config"
 ZONE_OUT_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
-IDEMPOTENT_TYPES = ("safe", "download")
+# RecursionError: the value is nested too deeply.
+INVALID_ENTRY_ERRORS = (ValueError, OSError, msgspec.MsgspecError, RecursionError)
 
 
 class EntryError(Exception):
     """An entry of the store cannot be decoded as the kind that its key implies."""
 
 
-class _Share(msgspec.Struct):
-    service: str
-    weight: int
-
-
-class _Route(msgspec.Struct, rename="camel"):
-    name: str
-    hostname: str  # an address, despite the name
-    prefix: str  # "/port/"
-    service: str | None = None
-    traffic_split: list[_Share] = []
-    aim_ms: float = 0.0
-    timeout_ms: float = 0.0
-    priority: int = 0
-    type: str = ""
-
-
-class _Service(msgspec.Struct, rename="camel"):
-    name: str
-    max_conns: int = 1 << 30
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
-
-
-class _Limits(msgspec.Struct, rename="camel"):
-    idle_timeout_ms: float = 15_000.0
-
-
-class _Configuration(msgspec.Struct, rename="camel"):
-    version: int
-    routes: list[_Route]
-    services: list[_Service]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-
-
 class _Target(msgspec.Struct, rename="camel"):
     service: str
     address: str
@@ -73,7 +38,7 @@
     born: int = 0
 
 
-_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_configuration_decoder = msgspec.json.Decoder(ConfigurationEntry)
 _target_decoder = msgspec.json.Decoder(_Target)
 
 
@@ -103,16 +68,11 @@
         document = _configuration_decoder.decode(value)
         return RouteConfiguration(
             document.version,
-            tuple(_translate_route(route) for route in document.routes),
-            {
-                service.name: ServiceLimits(
-                    service.max_conns, service.cold_start_s, service.cold_per_s
-                )
-                for service in document.services
-            },
+            tuple(translate_route(route) for route in document.routes),
+            {service.name: translate_service(service) for service in document.services},
             document.limits.idle_timeout_ms / 1000,
         )
-    except (ValueError, OSError, msgspec.MsgspecError) as error:
+    except INVALID_ENTRY_ERRORS as error:
         raise EntryError(f"configuration: {error}") from error
 
 
@@ -141,26 +101,5 @@
             document.cold_left_ms > 0,
             document.born,
         )
-    except (ValueError, OSError, msgspec.MsgspecError) as error:
+    except INVALID_ENTRY_ERRORS as error:
         raise EntryError(f"target {name}: {error}") from error
-
-
-def _translate_route(route: _Route) -> Route:
-    if route.traffic_split:
-        shares = tuple(
-            RouteShare(item.service, item.weight) for item in route.traffic_split
-        )
-    else:
-        shares = (RouteShare(route.service, 1),) if route.service else ()
-    port = int(route.prefix.strip("/"))
-    host = parse_host(route.hostname)
-    return Route(
-        route.name,
-        host,
-        port,
-        shares,
-        route.aim_ms / 1000,
-        route.timeout_ms / 1000,
-        route.priority,
-        route.type in IDEMPOTENT_TYPES,
-    )
--- a/plantainyoke/platform/_settings.py
+++ b/plantainyoke/platform/_settings.py
@@ -74,7 +74,7 @@
             document = tomllib.load(stream)
         file = msgspec.convert(document, _File)
         return _translate(file)
-    except (OSError, ValueError, msgspec.ValidationError) as error:
+    except (OSError, ValueError, msgspec.ValidationError, RecursionError) as error:
         raise SettingsError(f"{path}: {error}") from error
 
 
