Test the join of pages, call a service without limits a warning

Cause: a version that changes between two pages was not tested; a service that is not listed is served without limits, so it is not an entry that can never act.

--- a/plantainyoke/cli/tests/test_check.py
+++ b/plantainyoke/cli/tests/test_check.py
@@ -11,12 +11,16 @@
     PAGE_ENTRIES,
     Catalogue,
     CatalogueChange,
+    ConfigurationPage,
     RouteShare,
     ServiceCapacity,
     build_page,
     join_pages,
 )
 from plantainyoke.cli import run_control
+from plantainyoke.cli.queries import _in_force
+from plantainyoke.cli.queries._in_force import fetch_in_force
+from plantainyoke.cli.queries._query import QueryError
 from plantainyoke.platform._entries import EntryError, parse_configuration
 from plantainyoke.platform.inspection import inspect_configuration
 from plantainyoke.standins import PacketSimulation
@@ -347,3 +351,19 @@
         ]
         assert max(len(page.routes) for page in pages) <= PAGE_ENTRIES
         assert join_pages(pages) == configuration
+
+    def test_pages_of_two_versions_are_not_combined(self, monkeypatch):
+        """A comparison with a mixture would report routes that were never in force."""
+        numbers = []
+
+        def answer(control, query, parameters):
+            numbers.append(int(parameters["page"]))
+            version = 1 if len(numbers) == 1 else 2
+            return msgspec.json.encode(ConfigurationPage(version, 15.0, 2, (), {}, {}))
+
+        monkeypatch.setattr(_in_force, "fetch_answer", answer)
+        assert fetch_in_force(("127.0.0.1", 1)).configuration.version == 2
+        assert numbers == [0, 1, 0, 1]
+        monkeypatch.setattr(_in_force, "fetch_answer", lambda *_: b"{}")
+        with pytest.raises(QueryError):
+            fetch_in_force(("127.0.0.1", 1))
--- a/plantainyoke/validation/_configuration.py
+++ b/plantainyoke/validation/_configuration.py
@@ -120,7 +120,9 @@
                 f"service {share.service!r} is not listed in services: without limits "
                 "for it, its targets get flows up to any number and any cold rate"
             )
-            yield Finding("service_not_listed", ERROR, (*place, index, "service"), text)
+            yield Finding(
+                "service_not_listed", WARNING, (*place, index, "service"), text
+            )
     if sum(share.weight for share in route.shares) <= 0:
         text = "the weights add up to 0 or less: every new flow is reset"
         yield Finding("route_without_weight", ERROR, place, text)
