--- a/plantainyoke/flows/__init__.py
+++ b/plantainyoke/flows/__init__.py
@@ -8,6 +8,7 @@
 from plantainyoke.flows._flow_table import FlowTable, HalfOpenFlow, HeldFlow
 from plantainyoke.flows._homes import HolderTable, choose_homes
 from plantainyoke.flows._messages import (
+    IGNORE_FAILING_FLAG,
     MAX_ALTERNATES,
     MAX_HOPS,
     MAY_WAIT_FLAG,
@@ -30,6 +31,12 @@
     encode_open_body,
     encode_open_detail,
 )
+from plantainyoke.flows._relay import (
+    RelayedMessage,
+    add_hop,
+    decode_relay_body,
+    encode_relay_body,
+)
 from plantainyoke.flows._search import (
     MAX_REPEAT_DELAY_S,
     WIDEN_DELAY_S,
@@ -48,6 +55,7 @@
 )
 
 __all__ = [
+    "IGNORE_FAILING_FLAG",
     "MAY_WAIT_FLAG",
     "MOSTLY_COLD_FLAG",
     "FLOW_KEY_BYTES",
@@ -65,6 +73,10 @@
     "Message",
     "MalformedMessageError",
     "FlowRefusal",
+    "RelayedMessage",
+    "add_hop",
+    "decode_relay_body",
+    "encode_relay_body",
     "Search",
     "SearchTable",
     "MAX_REPEAT_DELAY_S",
--- a/plantainyoke/flows/_flow_table.py
+++ b/plantainyoke/flows/_flow_table.py
@@ -44,6 +44,9 @@
     is_reopened : bool
         Whether its caller's address sent another first packet: it may have lost the
         flow, and the target may then reset it.
+    idle_packet : bytes
+        The caller's latest packet without payload, 36 bytes; empty if there is none of
+        which a copy can be sent without an effect on the flow.
     """
 
     opened_at: float
@@ -56,6 +59,7 @@
     is_closing: bool = False
     expected_sequence: int | None = None
     is_reopened: bool = False
+    idle_packet: bytes = b""
 
     def is_new_data(self, segment: Segment) -> bool:
         """Return whether a caller's packet has data that the target does not have.
@@ -89,6 +93,8 @@
         Whether half of the service's targets were in cold start.
     may_wait : bool
         Whether the flow may wait until the target has capacity.
+    ignore_failing : bool
+        Whether the target may accept the flow although it fails requests.
     acceptance_sequence : int or None
         Sequence of the target's acceptance, None before it.
     """
@@ -101,6 +107,7 @@
     hops: int
     mostly_cold: bool = False
     may_wait: bool = False
+    ignore_failing: bool = False
     acceptance_sequence: int | None = None
 
 
--- a/plantainyoke/flows/_messages.py
+++ b/plantainyoke/flows/_messages.py
@@ -20,6 +20,8 @@
 MAX_ALTERNATES = 8
 MOSTLY_COLD_FLAG = 0x80  # flags beside the number of alternates
 MAY_WAIT_FLAG = 0x40
+IGNORE_FAILING_FLAG = 0x20
+ALTERNATES_MASK = 0x1F
 MAX_HOPS = 6  # forwards of one packet between processes before it is dropped
 
 
@@ -45,6 +47,7 @@
     WAITING = 13  # answer to OPEN: the flow waits until the target has capacity
     QUERY = 14  # does the receiver's target hold the flow?
     QUERY_ANSWER = 15  # answer to QUERY and to PROBE
+    RELAY = 16  # message for another host, see `_relay`
 
 
 class FlowRefusal(IntEnum):
@@ -170,7 +173,7 @@
     magic, kind, hops, detail, host, zone, service, revision = HEADER.unpack_from(
         datagram
     )
-    if magic != MAGIC or not MessageKind.OPEN <= kind <= MessageKind.QUERY_ANSWER:
+    if magic != MAGIC or not MessageKind.OPEN <= kind <= MessageKind.RELAY:
         raise MalformedMessageError(
             f"unknown magic number {magic:#x} or message kind {kind}"
         )
@@ -180,7 +183,11 @@
 
 
 def encode_open_detail(
-    alternates: int, *, mostly_cold: bool = False, may_wait: bool = False
+    alternates: int,
+    *,
+    mostly_cold: bool = False,
+    may_wait: bool = False,
+    ignore_failing: bool = False,
 ) -> int:
     """Return the detail of OPEN.
 
@@ -192,11 +199,14 @@
         Whether at least half of the service's targets are in cold start.
     may_wait : bool, default=False
         Whether the flow may wait until the target has capacity.
+    ignore_failing : bool, default=False
+        Whether a failing target may accept the flow, because too many are failing.
     """
     return (
         alternates
         | (MOSTLY_COLD_FLAG if mostly_cold else 0)
         | (MAY_WAIT_FLAG if may_wait else 0)
+        | (IGNORE_FAILING_FLAG if ignore_failing else 0)
     )
 
 
@@ -212,7 +222,7 @@
     ------
     MalformedMessageError
     """
-    count = detail & ~(MOSTLY_COLD_FLAG | MAY_WAIT_FLAG)
+    count = detail & ALTERNATES_MASK
     size = count * 4
     if count > MAX_ALTERNATES or len(body) <= size:
         raise MalformedMessageError(
--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -24,41 +24,26 @@
     decode_flow_key,
     decode_knowledge,
     decode_load_body,
+    decode_open_body,
     encode_load_body,
     format_flow,
 )
 from plantainyoke.packet_agent._ejection import TargetEjector
 from plantainyoke.packet_agent._finder import HolderFinder
 from plantainyoke.packet_agent._incarnation import IncarnationTracker
+from plantainyoke.packet_agent._lost_flows import LostFlowProber
 from plantainyoke.packet_agent._observation import TargetObserver
 from plantainyoke.packet_agent._opening import FlowOpener
+from plantainyoke.packet_agent._relay import AgentRelay
 from plantainyoke.packet_agent._sender import AgentTransport, MessageSender
+from plantainyoke.packet_agent._silent_target import SilentTargetDetector
+from plantainyoke.packet_agent._target_probes import TargetProbe, expire_target_probes
 from plantainyoke.packet_node import ALL_FEATURES, FeatureSettings, PacketCodec
 from plantainyoke.placement import FlowAdmission
 from plantainyoke.telemetry import Metrics, log_event
 
 MAX_REPORTS_PER_INTERVAL = 8  # 2 KB/s at four reports a second
-ACTIVITY_TIMEOUT_S = 2.0  # then balancers get no reports and target probes expire
-
-
-class TargetProbe(msgspec.Struct):
-    """A packet sent to the target to find out whether it holds the flow.
-
-    Attributes
-    ----------
-    requester : int
-        Host that sent the packet to this agent.
-    ingress : Ingress
-    sent_at : float
-        Time at which the packet was sent to the target, in seconds.
-    is_search : bool
-        Whether the packet came in PROBE, so that a denial does not return it.
-    """
-
-    requester: int
-    ingress: Ingress
-    sent_at: float
-    is_search: bool
+ACTIVITY_TIMEOUT_S = 2.0  # then balancers get no reports
 
 
 class PacketDelivery:
@@ -120,6 +105,16 @@
         self.target_probes: dict[FlowKey, TargetProbe] = {}
         self.balancers: dict[int, float] = {}
         self.now = 0.0
+        self.relay = AgentRelay(
+            host=host,
+            catalogue=catalogue,
+            send_to_host=transport.send_to_host,
+            balancers=self.balancers,
+            report_load=lambda balancer: self._send_load_reports([balancer]),
+            metrics=metrics,
+            is_enabled=features.relay_through_third_zone,
+        )
+        transport = msgspec.structs.replace(transport, send_to_host=self.relay.send)
         self.sender = MessageSender(
             host=host,
             catalogue=catalogue,
@@ -128,6 +123,12 @@
             metrics=metrics,
             load=lambda: self.observer.measure_load(self.now),
         )
+        self.lost_flows = LostFlowProber(
+            flow_table=self.flow_table,
+            send_to_target=transport.send_to_target,
+            metrics=metrics,
+            is_enabled=features.lost_flow_probes,
+        )
         self.opener = FlowOpener(
             catalogue=catalogue,
             admission=admission,
@@ -151,6 +152,13 @@
             started_at=started_at,
             is_enabled=features.failing_target_detection,
         )
+        self.silent_target = SilentTargetDetector(
+            admission=admission,
+            flow_table=self.flow_table,
+            sender=self.sender,
+            started_at=started_at,
+            is_enabled=features.lost_flow_probes,
+        )
         self.incarnations = IncarnationTracker(
             admission=admission,
             flow_table=self.flow_table,
@@ -163,7 +171,7 @@
             catalogue=catalogue,
             sender=self.sender,
             metrics=metrics,
-            probe_target=self._probe_target,
+            probe_target=lambda segment, probe: self._deliver(segment, probe, host),
         )
         self.handlers = {
             MessageKind.OPEN: self._receive_open,
@@ -182,6 +190,12 @@
     def receive_message(self, message: Message, source: int, now: float) -> None:
         """Handle one datagram of a balancer or another agent."""
         self.now = now
+        is_relayed = message.kind == MessageKind.RELAY
+        if is_relayed:
+            relayed = self.relay.receive(message, source, now)
+            if relayed is None:
+                return
+            message, source = relayed
         handler = self.handlers.get(message.kind)
         if handler is None:
             self.metrics.counters["drop.message_unexpected"] += 1
@@ -190,11 +204,14 @@
             self.metrics.counters["drop.hops"] += 1
             return
         self.finder.record_message(source)
-        if message.ingress.host == source:
+        if message.ingress.host == source and not is_relayed:
             self.balancers[source] = now
+            self.relay.record_direct(source)
         handler(message, source)
 
     def _receive_open(self, message: Message, source: int) -> None:
+        _, packet = decode_open_body(message.detail, message.body)
+        self.lost_flows.record_first_packet(self.codec.peek_flow_key(packet)[0])
         self.opener.receive_open(message, self.now)
 
     def _receive_forward(self, message: Message, source: int) -> None:
@@ -217,6 +234,8 @@
                 now=self.now,
                 more_follows=segment.payload_size == self.codec.max_payload_bytes,
             )
+            self.ejector.record_request(held, flow, self.now)
+            self.lost_flows.record_caller_packet(held, segment)
             self.metrics.counters["packet.delivered"] += 1
             self.transport.send_to_target(segment.raw)
             if segment.resets:
@@ -344,14 +363,12 @@
     def _receive_register_holder(self, message: Message, source: int) -> None:
         self.finder.record_holder(decode_flow_key(message.body), source, self.now)
 
-    def _probe_target(self, segment: Segment, message: Message) -> None:
-        self._deliver(segment, message, self.host)
-
     # Packets of the target.
 
     def receive_from_target(self, segment: Segment, now: float) -> None:
         """Handle one packet that the target sent."""
         self.now = now
+        self.silent_target.record_target_packet(now)
         self._handle_target_packet(segment)
         if self.opener.waiting_room.flows:
             self.opener.admit_waiting(now)
@@ -385,8 +402,7 @@
         probe = self.target_probes.pop(flow, None)
         ingress = probe.ingress if probe else Ingress()
         held = self._add_held(flow, ingress)
-        requester = probe.requester if probe else 0
-        self.sender.send_held(flow, ingress, requester)
+        self.sender.send_held(flow, ingress, probe.requester if probe else 0)
         self.metrics.counters["flow.recovered"] += 1
         self.finder.searches.finish(flow)
         return held
@@ -405,10 +421,12 @@
                 segment, probe.requester, probe.ingress, is_search=probe.is_search
             )
             return
-        held = self.flow_table.remove(flow)
-        if held is not None:
+        packet = self.codec.clear_bounced_flag(segment.raw)
+        if flow in self.flow_table.flows and self.lost_flows.is_proof(segment, packet):
             # The target held the flow and lost it, so it was started again.
+            held = self.flow_table.remove(flow)
             self.sender.reset_flow(flow, segment.acknowledged, "target_lost_flow")
+            self.lost_flows.record_lost_flow(flow, held, self.now)
             return
         self.metrics.counters["drop.bounced"] += 1
 
@@ -420,13 +438,19 @@
         for balancer, heard_at in list(self.balancers.items()):
             if self.now - heard_at > ACTIVITY_TIMEOUT_S:
                 del self.balancers[balancer]
-        body = encode_load_body(b"", self.observer.measure_load(now))
-        for balancer in list(self.balancers)[:MAX_REPORTS_PER_INTERVAL]:
+        direct = [one for one in self.balancers if one not in self.relay.detours]
+        batch = direct[:MAX_REPORTS_PER_INTERVAL]
+        self._send_load_reports(batch)
+        for balancer in batch:
+            # Move to the end: balancers left out of this batch come first next time.
+            self.balancers[balancer] = self.balancers.pop(balancer)
+
+    def _send_load_reports(self, balancers: list[int]) -> None:
+        body = encode_load_body(b"", self.observer.measure_load(self.now))
+        for balancer in balancers:
             self.sender.send(
                 MessageKind.LOAD_REPORT, balancer, body, ingress=Ingress(balancer)
             )
-            # Move to the end: balancers left out of this batch come first next time.
-            self.balancers[balancer] = self.balancers.pop(balancer)
 
     def announce_leaving(self) -> None:
         """Refuse new flows, and tell balancers that this process stops.
@@ -465,11 +489,7 @@
         self.ejector.tick(now)
         self.opener.admit_waiting(now)
         self.finder.tick(self.flow_table.flows, now)
-        stale = [
-            flow
-            for flow, probe in self.target_probes.items()
-            if now - probe.sent_at > ACTIVITY_TIMEOUT_S
-        ]
-        for flow in stale:
-            del self.target_probes[flow]
+        expire_target_probes(self.target_probes, now)
         self.incarnations.reset_lost_flows()
+        self.lost_flows.tick(now)
+        self.relay.expire(now)
