Leave out the queue of requests on open flows, and say why

The rule for silent hosts without an entry moves from the catalogue to the search that uses it. No other behaviour changes.

--- a/plantainyoke/catalogue/_catalogue.py
+++ b/plantainyoke/catalogue/_catalogue.py
@@ -267,17 +267,6 @@
         """Whether the view differs from what the store has published."""
         return bool(self.unconfirmed) or self.zones_out != self.published_zones_out
 
-    def has_lapsed(self, host: int) -> bool:
-        """Return whether the store has no entry of any target of a host.
-
-        The view may still have the targets: their entries can have lapsed while the
-        store was unreachable.
-        """
-        return all(
-            self.get_published_target(name) is None
-            for name in self.all_targets_by_host.get(host, ())
-        )
-
     def get_published_target(self, name: str) -> Target | None:
         """Return the entry of a target in the store, None if it has none."""
         if name in self.unconfirmed:
--- a/plantainyoke/packet_agent/_finder.py
+++ b/plantainyoke/packet_agent/_finder.py
@@ -174,8 +174,10 @@
         """
         if host not in self.catalogue.target_by_host:
             return False
-        silent_s = now - self.silent_since.get(host, now)
-        return silent_s < LAPSED_SILENCE_S or not self.catalogue.has_lapsed(host)
+        if now - self.silent_since.get(host, now) < LAPSED_SILENCE_S:
+            return True
+        names = self.catalogue.all_targets_by_host[host]
+        return any(self.catalogue.get_published_target(name) for name in names)
 
     def record_holder(self, flow: FlowKey, holder: int, now: float) -> None:
         """Store a pointer to the holder of a flow, and end the flow's search."""
--- a/plantainyoke/packet_node/_settings.py
+++ b/plantainyoke/packet_node/_settings.py
@@ -17,8 +17,6 @@
         Whether targets that fail requests get no new flows.
     expected_time_choice : bool
         Whether targets are compared by the expected time to an answer.
-    request_queue : bool
-        Whether an agent orders the requests on open flows while its target is busy.
     lost_flow_probes : bool
         Whether an agent probes the flows of a target that has returned a packet of one.
     relay_through_third_zone : bool
@@ -28,7 +26,6 @@
 
     failing_target_detection: bool = True
     expected_time_choice: bool = True
-    request_queue: bool = True
     lost_flow_probes: bool = True
     relay_through_third_zone: bool = True
 
