--- a/plantainyoke/platform/tests/test_settings.py
+++ b/plantainyoke/platform/tests/test_settings.py
@@ -1,5 +1,6 @@
 import pytest
 
+from plantainyoke.packet_node import FeatureSettings
 from plantainyoke.platform import SettingsError, load_process_settings
 
 TEXT = """
@@ -62,12 +63,20 @@
             ('"10.200.1.7:8169"', '"store"'),
             ("heartbeatMs = 1200", 'heartbeatMs = "soon"'),
             ("[listen]", "[listen"),
+            ("[platform]", "[features]\nunknown = false\n[platform]"),
+            ("[platform]", "[features]\nlost_flow_probes = 0\n[platform]"),
         ],
     )
     def test_invalid_file_is_rejected_with_its_name(self, tmp_path, old, new):
         with pytest.raises(SettingsError, match=r"boot\.toml"):
             _load(tmp_path, TEXT.replace(old, new))
 
+    def test_features_are_on_unless_they_are_turned_off(self, tmp_path):
+        """Guards against a switch that operators set without an effect."""
+        assert _load(tmp_path, TEXT).features == FeatureSettings()
+        text = TEXT + "[features]\nlost_flow_probes = false\n"
+        assert _load(tmp_path, text).features == FeatureSettings(lost_flow_probes=False)
+
     def test_missing_file_is_rejected(self, tmp_path):
         with pytest.raises(SettingsError):
             load_process_settings(tmp_path / "none.toml")
