Keep the pace of probes, and what is no proof, between returned packets

Cause: each packet returned during a run of probes sent another batch of 200 at once, so five requests at a restarted target with 800 flows had it sent 800 copies within 8 ms. A new run also forgot that a flow had been opened again since its copy was sent; if a slow target returned that copy, the new flow was reset. Change: a run in progress continues only at ticks; copies that are no proof are kept while their flow is held. Result: test_further_returned_packets_do_not_hasten_the_probes and test_copy_of_the_earlier_flow_is_no_proof_after_another_run_has_begun fail before and pass after.

--- a/plantainyoke/packet_agent/_lost_flows.py
+++ b/plantainyoke/packet_agent/_lost_flows.py
@@ -62,7 +62,8 @@
     suspects : deque of bytes
         Flows that the run in progress has still to probe.
     sent : dict of bytes to SentProbe
-        Copies sent in the latest run, by flow.
+        Copies sent in the latest run, by flow, and those of earlier runs that are no
+        proof.
     is_run_due : bool
         Whether a packet was returned that asks for another run.
     """
@@ -133,7 +134,9 @@
         if held.opened_at > self.restart_seen_at:
             self.restart_seen_at = now
         self.is_run_due = True
-        self.tick(now)
+        if not self.suspects:
+            # A run in progress continues at the ticks, which pace it.
+            self.tick(now)
 
     def tick(self, now: float) -> None:
         """Start a run that is due, and send the next probes of the run in progress."""
@@ -148,7 +151,12 @@
         if now - self.probed_at < RUN_INTERVAL_S:
             return
         self.is_run_due = False
-        self.sent = {}
+        # A slow target may still return a copy of a flow that was opened again.
+        self.sent = {
+            flow: probe
+            for flow, probe in self.sent.items()
+            if not probe.is_proof and flow in self.flow_table.flows
+        }
         self.suspects.extend(
             flow
             for flow, held in self.flow_table.flows.items()
--- a/plantainyoke/packet_agent/tests/test_lost_flows.py
+++ b/plantainyoke/packet_agent/tests/test_lost_flows.py
@@ -68,6 +68,20 @@
         simulation.advance(0.3)
         assert _count_resets(callers) == len(callers)
 
+    def test_further_returned_packets_do_not_hasten_the_probes(self):
+        """Each request returned during a run sent another batch at once, so that a
+        restarted target got the copies of all its flows within milliseconds.
+        """
+        simulation, _, callers = _open_flows(4 * PROBES_PER_TICK)
+        received = _record_target_packets(simulation)
+        simulation.targets[HOST].lose_flows()
+        for caller in callers[-5:]:
+            caller.send_request()
+        simulation.advance(0.008)
+        assert len(received) <= 5 + PROBES_PER_TICK
+        simulation.advance(1.2)
+        assert _count_resets(callers) == len(callers)
+
     def test_no_flow_is_probed_twice_within_the_interval(self):
         """A target that loses flows one after the other would be sent all copies for
         each of them.
@@ -197,6 +211,25 @@
         simulation.advance(1.0)
         assert again.reset_at is None
 
+    def test_copy_of_the_earlier_flow_is_no_proof_after_another_run_has_begun(self):
+        """The next run forgot that the flow had been opened again, and a target that
+        returned the copy late had the new flow reset.
+        """
+        simulation, agent, callers = _open_flows()
+        again, target = callers[1], simulation.targets[HOST]
+        kept = agent.flow_table.flows[again.flow].idle_packet
+        agent.flow_table.flows[callers[2].flow].idle_packet = b""
+        agent.lost_flows.send_to_target = lambda packet: None
+        target.lose_flows()
+        callers[0].send_request()
+        simulation.advance(0.1)
+        simulation.send_from_caller(write_packet(again.flow, SYN))
+        callers[2].send_request()
+        simulation.advance(2 * RUN_INTERVAL_S)
+        _bounce(simulation, kept)
+        simulation.advance(1.0)
+        assert again.reset_at is None
+
     def test_packets_that_waited_during_a_pause_of_the_agent_reset_no_held_flow(self):
         """After the pause the agent handles an opening and a returned packet at once;
         the flow opened at the restarted target has to stay.
