Count a zone as silent after three rounds of load reports

Cause: an agent reports to 8 balancers in 0.25 s, so with 19 balancers one of them waits 0.75 s. It took the zone for silent after 0.6 s and relayed packets without a fault, if it had flows at only one agent of the zone. Change: the bound is 1.0 s. Detours begin 0.4 s later.

--- a/plantainyoke/packet_balancer/_detours.py
+++ b/plantainyoke/packet_balancer/_detours.py
@@ -31,9 +31,9 @@
 from plantainyoke.placement import AgentTable, select_by_rendezvous
 from plantainyoke.telemetry import Metrics, log_event
 
-# Two rounds of load reports at 16 balancers. An agent that has more needs longer for a
-# round, but then the other agents of its zone are heard in the meantime.
-ZONE_SILENT_S = 0.6
+# An agent reports to 8 balancers in 0.25 s, so each of 24 gets a report every 0.75 s.
+# With more balancers, one with flows at a single agent of a zone may wait for longer.
+ZONE_SILENT_S = 1.0
 DIRECT_PROBE_INTERVAL_S = 1.0
 RELAY_HEARD_S = 2.5  # a round of load reports at 60 balancers, and some
 REPORT_INTERVAL_S = 0.3  # an agent answers relayed messages every 0.25 s
--- a/plantainyoke/tests/test_packet_relay.py
+++ b/plantainyoke/tests/test_packet_relay.py
@@ -208,3 +208,22 @@
         assert _is_served(callers)
         assert _count(simulation, "relay.sent") == 0
         assert not simulation.get_balancer(BALANCER).detours.detours
+
+    def test_quiet_balancer_among_many_uses_the_direct_path(self):
+        """An agent reports to 8 of 19 balancers in 0.25 s, so that a balancer with
+        flows at only one agent of a zone waits three intervals for a report.
+        """
+        simulation = PacketSimulation({"orders": 3}, balancers=19, seed=4)
+        callers = [simulation.open_flow() for _ in range(190)]
+        simulation.advance(1.0)
+        remote = [
+            caller
+            for caller in callers
+            if simulation.zone_by_host[simulation.select_by_hash(caller.flow)]
+            != simulation.zone_by_host[simulation.find_holder(caller)]
+        ]
+        assert remote
+        for _ in range(200):
+            _send_requests(simulation, remote, 0.09)
+        assert _is_served(callers)
+        assert _count(simulation, "relay.sent") == 0
