Choose no relay that is itself reached over a detour

Cause: an agent that is heard only over a relay counted as heard. With two zones cut off, packets for one went to agents of the other, at 0.4 s each without an answer. Change: agents to which a detour exists are no candidates. Result: test_agent_that_is_itself_heard_over_a_relay_is_no_relay fails before (relays in zones c and d) and passes after (c only).

--- a/plantainyoke/packet_balancer/_detours.py
+++ b/plantainyoke/packet_balancer/_detours.py
@@ -201,6 +201,7 @@
             for candidate in self.catalogue.target_by_host.values()
             if candidate.zone not in (self.zone, target.zone)
             and candidate.host not in detour.tried
+            and candidate.host not in self.detours
             and self._is_heard(candidate.host)
         ]
         if not candidates or len(detour.tried) >= MAX_RELAYS:
--- a/plantainyoke/tests/test_packet_relay.py
+++ b/plantainyoke/tests/test_packet_relay.py
@@ -116,6 +116,29 @@
         _send_requests(simulation, cut_off, 1.0)
         assert _is_served(cut_off)
 
+    def test_agent_that_is_itself_heard_over_a_relay_is_no_relay(self):
+        """Packets for zone b went to agents of zone d, which is cut off as well, and
+        three of them without an answer ended the detour for 5 s.
+        """
+        simulation = PacketSimulation({"orders": 16}, zones=tuple("abcd"), seed=4)
+        callers = _open_flows(simulation)
+        _partition(simulation)
+        pairs = simulation.partitioned_pairs
+        _partition(simulation, "a", "d")
+        simulation.partitioned_pairs |= pairs
+        in_d = _list_callers_of_zone(simulation, callers, "d")
+        in_b = _list_callers_of_zone(simulation, callers, "b")
+        assert in_d and in_b
+        for _ in range(4):
+            _send_requests(simulation, in_d, 0.5)
+        detours = simulation.get_balancer(BALANCER).detours.detours
+        assert detours
+        for _ in range(20):
+            _send_requests(simulation, in_d + in_b, 0.1)
+            relays = {detour.relay for detour in detours.values()}
+            assert {simulation.zone_by_host[relay] for relay in relays} == {"c"}
+        assert {simulation.zone_by_host[host] for host in detours} == {"b", "d"}
+
     def test_direct_path_is_used_again_when_it_works(self, partitioned):
         simulation, callers, cut_off = partitioned
         _send_requests(simulation, cut_off, 1.0)
