--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -25,12 +25,12 @@
     decode_knowledge,
     decode_load_body,
     decode_open_body,
-    encode_load_body,
     format_flow,
 )
 from plantainyoke.packet_agent._ejection import TargetEjector
 from plantainyoke.packet_agent._finder import HolderFinder
 from plantainyoke.packet_agent._incarnation import IncarnationTracker
+from plantainyoke.packet_agent._load_reports import LoadReporter
 from plantainyoke.packet_agent._lost_flows import LostFlowProber
 from plantainyoke.packet_agent._observation import TargetObserver
 from plantainyoke.packet_agent._opening import FlowOpener
@@ -42,9 +42,6 @@
 from plantainyoke.placement import FlowAdmission
 from plantainyoke.telemetry import Metrics, log_event
 
-MAX_REPORTS_PER_INTERVAL = 8  # 2 KB/s at four reports a second
-ACTIVITY_TIMEOUT_S = 2.0  # then balancers get no reports
-
 
 class PacketDelivery:
     """Delivers packets to the target and keeps the table of the flows that it holds.
@@ -110,7 +107,7 @@
             catalogue=catalogue,
             send_to_host=transport.send_to_host,
             balancers=self.balancers,
-            report_load=lambda balancer: self._send_load_reports([balancer]),
+            report_load=lambda balancer: self.reporter.send([balancer]),
             metrics=metrics,
             is_enabled=features.relay_through_third_zone,
         )
@@ -144,6 +141,11 @@
             count_waiting=lambda: len(self.opener.waiting_room),
             metrics=metrics,
         )
+        self.reporter = LoadReporter(
+            balancers=self.balancers,
+            detours=self.relay.detours,
+            sender=self.sender,
+        )
         self.ejector = TargetEjector(
             admission=admission,
             flow_table=self.flow_table,
@@ -435,22 +437,7 @@
     def send_load_reports(self, now: float) -> None:
         """Send the load to balancers heard lately, a batch at a time, round robin."""
         self.now = now
-        for balancer, heard_at in list(self.balancers.items()):
-            if self.now - heard_at > ACTIVITY_TIMEOUT_S:
-                del self.balancers[balancer]
-        direct = [one for one in self.balancers if one not in self.relay.detours]
-        batch = direct[:MAX_REPORTS_PER_INTERVAL]
-        self._send_load_reports(batch)
-        for balancer in batch:
-            # Move to the end: balancers left out of this batch come first next time.
-            self.balancers[balancer] = self.balancers.pop(balancer)
-
-    def _send_load_reports(self, balancers: list[int]) -> None:
-        body = encode_load_body(b"", self.observer.measure_load(self.now))
-        for balancer in balancers:
-            self.sender.send(
-                MessageKind.LOAD_REPORT, balancer, body, ingress=Ingress(balancer)
-            )
+        self.reporter.send_batch(now)
 
     def announce_leaving(self) -> None:
         """Refuse new flows, and tell balancers that this process stops.
@@ -460,10 +447,7 @@
         """
         self.admission.is_leaving = True
         self.opener.admit_waiting(self.now)
-        for balancer in self.balancers:
-            self.sender.send(
-                MessageKind.LEAVING, balancer, b"", ingress=Ingress(balancer)
-            )
+        self.reporter.announce_leaving()
 
     def handle_target_change(self, now: float, *, unix_s: float) -> None:
         """Handle a change of the published targets.
