Let targets without idempotent flows recover

An ejected target admitted only flows of idempotent routes as trials, so that the targets of a service without such routes stayed ejected until they were restarted.

--- a/plantainyoke/outliers/_ejection.py
+++ b/plantainyoke/outliers/_ejection.py
@@ -86,6 +86,14 @@
             self.trial_flow is None or now - self.trial_at > TRIAL_TIMEOUT_S
         )
 
+    def is_trial_overdue(self, now: float) -> bool:
+        """Return whether a flow that is not idempotent may be the trial flow.
+
+        Without this, a target whose service has no idempotent requests, or none for a
+        long time, would never return.
+        """
+        return now - self.retry_at > MAX_RETRY_DELAY_S
+
     def start_trial(self, flow: FlowKey, now: float) -> None:
         """Record that a trial flow was admitted."""
         self.trial_flow, self.trial_at = flow, now
--- a/plantainyoke/placement/_admission.py
+++ b/plantainyoke/placement/_admission.py
@@ -258,7 +258,9 @@
         target = self.target
         if compute_service_id(target.service) != service:
             return FlowRefusal.SERVICE
-        if self.ejection.is_failing and not (is_idempotent or ignore_failing):
+        if self.ejection.is_failing and not (
+            is_idempotent or ignore_failing or self.ejection.is_trial_overdue(now)
+        ):
             return FlowRefusal.FAILING
         if aim_s and in_flight >= self.max_in_flight:
             return FlowRefusal.BUSY
