Keep new flows and unfinished uploads when idle flows are reset

A target that is started again within a second gets flows before its new entry is known; the resets of its predecessor then proved it impaired, and its new flows were reset. Only flows that opened before the latest reset by the target are reset now. A flow on which a part of a request arrived, and the next packet was lost, counted as idle; it no longer does. Both tests failed before.

--- a/plantainyoke/flows/_flow_table.py
+++ b/plantainyoke/flows/_flow_table.py
@@ -44,6 +44,8 @@
     is_reopened : bool
         Whether its caller's address sent another first packet: it may have lost the
         flow, and the target may then reset it.
+    is_receiving : bool
+        Whether the target has a part of a request, the rest of which is to come.
     """
 
     opened_at: float
@@ -56,6 +58,7 @@
     is_closing: bool = False
     expected_sequence: int | None = None
     is_reopened: bool = False
+    is_receiving: bool = False
 
     def is_new_data(self, segment: Segment) -> bool:
         """Return whether a caller's packet has data that the target does not have.
@@ -177,7 +180,10 @@
         held.ingress = ingress
         held.acknowledged = segment.acknowledged
         self.flows.move_to_end(segment.flow)
-        if held.is_new_data(segment) and not more_follows:
+        is_new_data = held.is_new_data(segment)
+        if is_new_data:
+            held.is_receiving = more_follows
+        if is_new_data and not more_follows:
             held.request_at = now
             self.requests[segment.flow] = held
             held.in_flight_at_request = self.in_flight
@@ -199,6 +205,8 @@
         held.is_closing = held.is_closing or segment.finishes
         if segment.has_acknowledged:
             held.expected_sequence = segment.acknowledged
+        if segment.payload_size:
+            held.is_receiving = False
         if not held.request_at:
             return None
         if segment.payload_size:
--- a/plantainyoke/outliers/_outcomes.py
+++ b/plantainyoke/outliers/_outcomes.py
@@ -67,6 +67,14 @@
         while len(self.outcomes) > limit:
             self.outcomes.popleft()
 
+    @property
+    def reset_at(self) -> float:
+        """Time of the latest reset by the target, 0 if there is none."""
+        for outcome in reversed(self.outcomes):
+            if outcome.kind == OutcomeKind.RESET_BY_TARGET:
+                return outcome.at
+        return 0.0
+
     def clear(self) -> None:
         """Forget all outcomes."""
         self.outcomes.clear()
--- a/plantainyoke/outliers/tests/test_recovery.py
+++ b/plantainyoke/outliers/tests/test_recovery.py
@@ -2,7 +2,9 @@
 
 from plantainyoke.flows import FlowRefusal
 from plantainyoke.hashing import compute_service_id
-from plantainyoke.outliers.tests.test_ejector import fail_requests, start
+from plantainyoke.outliers.tests.test_ejector import ACK, HOST, fail_requests, start
+from plantainyoke.platform import PACKET_CODEC
+from plantainyoke.standins import write_packet
 
 
 class TestRecoveryWithoutIdempotentFlows:
@@ -23,3 +25,38 @@
             assert admit(retry_at + 17.0) == FlowRefusal.FAILING  # one at a time
             admission.ejection.record_answer(trial, retry_at + 17.0)
         assert not admission.ejection.is_failing
+
+
+class TestResetsOfIdleFlows:
+    def test_flow_that_opened_after_the_latest_reset_is_kept(self):
+        """A target that was started again at once would lose its new flows."""
+        simulation, callers = start()
+        agent = fail_requests(simulation, callers[:3])
+        agent.admission.ejection.is_failing = False  # admits the flow at once
+        new = simulation.open_flow()
+        simulation.advance(0.1)
+        assert new.is_open
+        agent.admission.ejection.is_failing = True
+        agent.admission.ejection.ignored_until = 0.0
+        simulation.advance(0.8)
+        assert new.reset_at is None
+
+    def test_flow_with_an_unfinished_upload_is_not_idle(self):
+        """The upload's request would be lost, and may not be repeated."""
+        simulation, callers = start()
+        upload = callers[7]
+        payload = b"request 1".ljust(PACKET_CODEC.max_payload_bytes)
+        simulation.send_from_caller(
+            write_packet(
+                upload.flow,
+                ACK,
+                sequence=upload.sequence,
+                acknowledged=upload.acknowledged,
+                payload=payload,
+            )
+        )
+        simulation.targets[HOST].is_alive = False  # the next packet is lost
+        agent = fail_requests(simulation, callers[:3])
+        simulation.advance(0.5)
+        assert agent.metrics.counters["reset.target_failing"]
+        assert upload.reset_at is None
--- a/plantainyoke/packet_agent/_ejection.py
+++ b/plantainyoke/packet_agent/_ejection.py
@@ -218,6 +218,7 @@
         others = self.admission.catalogue.list_eligible_targets(target.service)
         if all(other.host == target.host for other in others):
             return
+        last_reset_at = self.window.reset_at
         idle = []
         for flow, held in self.flow_table.flows.items():
             if (
@@ -225,7 +226,12 @@
                 or len(idle) == IDLE_RESETS_PER_TICK
             ):
                 break
-            if not (held.request_at or held.is_closing or flow == failed_flow):
+            # What opened later may belong to a target that was started again.
+            if (
+                not (held.request_at or held.is_receiving or held.is_closing)
+                and held.opened_at < last_reset_at
+                and flow != failed_flow
+            ):
                 idle.append(flow)
         for flow in idle:
             held = self.flow_table.remove(flow)
