Don't take requests overtaken by rejections for failures

A full target rejects later requests at once. These answers overtook the queued requests and shortened the measured work time, so that requests 50 ms old counted as overdue: in the test, a healthy target with a full queue had 38 failures and was ejected, at the peak of its load. A request is now overdue only when it is older than its route's aim.

--- a/plantainyoke/outliers/_requests.py
+++ b/plantainyoke/outliers/_requests.py
@@ -72,15 +72,20 @@
     def list_overtaken(
         self, answered: TrackedRequest, now: float, *, slots: int, work_time_s: float
     ) -> list[FlowKey]:
-        """Record an answer, and return the flows of requests newly overdue by it."""
+        """Record an answer, and return the flows of requests newly overdue by it.
+
+        A full target rejects later requests at once, which overtake the queued ones
+        and shorten the measured work time. None is overdue before its route's aim.
+        """
         overtaken = []
         for flow, request in self.requests.items():
             if request.number > answered.number or request.is_failed:
                 continue
             request.overtaken += 1
+            limit_s = max(request.aim_s, OVERDUE_WORK_TIMES * work_time_s)
             if (
                 request.overtaken >= slots + OVERTAKEN_EXTRA
-                and now - request.started_at > OVERDUE_WORK_TIMES * work_time_s
+                and now - request.started_at > limit_s
             ):
                 request.is_failed = True
                 overtaken.append(flow)
--- a/plantainyoke/outliers/tests/test_recovery.py
+++ b/plantainyoke/outliers/tests/test_recovery.py
@@ -5,6 +5,7 @@
 from plantainyoke.outliers.tests.test_ejector import ACK, HOST, fail_requests, start
 from plantainyoke.platform import PACKET_CODEC
 from plantainyoke.standins import write_packet
+from plantainyoke.standins._packet_simulation import SERVICE_TIME_S
 
 
 class TestRecoveryWithoutIdempotentFlows:
@@ -60,3 +61,26 @@
         simulation.advance(0.5)
         assert agent.metrics.counters["reset.target_failing"]
         assert upload.reset_at is None
+
+
+class TestFullTarget:
+    def test_requests_overtaken_by_rejections_are_no_failure(self):
+        """A full target rejects later requests at once while earlier ones wait."""
+        simulation, callers = start(flows=16, aim_s=0.3)
+        target = simulation.targets[HOST]
+        work = target._schedule_request
+
+        def schedule_or_reject():
+            waiting_s = max([0.0, *target.slots_free_at]) - simulation.now
+            return 0.001 if waiting_s > 2.5 * SERVICE_TIME_S else work()
+
+        target._schedule_request = schedule_or_reject
+        for _ in range(10):
+            for caller in callers:
+                caller.send_request()
+                simulation.advance(0.01)
+            simulation.advance(0.04)
+        simulation.advance(0.2)
+        assert all(caller.last_answered == 10 for caller in callers)
+        agent = simulation.get_agent(HOST)
+        assert not agent.metrics.counters["outlier.failed"]
