Place flows although all targets fail and reports do not state it

Load reports state no failure while a trial is due, and are not sent to balancers that were quiet for 2 s.

--- a/plantainyoke/outliers/tests/test_recovery.py
+++ b/plantainyoke/outliers/tests/test_recovery.py
@@ -1,10 +1,12 @@
 """Faults of the recovery of targets, and resets without proof."""
 
+import pytest
+
 from plantainyoke.flows import FlowRefusal
 from plantainyoke.hashing import compute_service_id
 from plantainyoke.outliers.tests.test_ejector import ACK, HOST, fail_requests, start
 from plantainyoke.platform import PACKET_CODEC
-from plantainyoke.standins import write_packet
+from plantainyoke.standins import PacketSimulation, write_packet
 from plantainyoke.standins._packet_simulation import SERVICE_TIME_S
 
 
@@ -84,3 +86,28 @@
         assert all(caller.last_answered == 10 for caller in callers)
         agent = simulation.get_agent(HOST)
         assert not agent.metrics.counters["outlier.failed"]
+
+
+class TestServiceOfWhichAllTargetsFail:
+    @pytest.mark.parametrize("is_idempotent", [False, True])
+    @pytest.mark.parametrize("trial_in_s", [-0.1, 1.0])
+    @pytest.mark.parametrize("targets", [1, 2, 4, 12])
+    def test_flows_are_placed_in_spite_of_reports(
+        self, targets, trial_in_s, is_idempotent
+    ):
+        """Reports state no failure while a trial is due, so that the limit of the
+        ejection is not seen; every flow was then reset."""
+        simulation = PacketSimulation(
+            {"orders": targets}, aim_s=0.3, timeout_s=1.5, is_idempotent=is_idempotent
+        )
+        simulation.advance(0.5)
+        for host in simulation.targets:
+            ejection = simulation.get_agent(host).admission.ejection
+            ejection.eject(simulation.now)
+            ejection.retry_at = simulation.now + trial_in_s
+        callers = []
+        for _ in range(20):
+            callers.append(simulation.open_flow())
+            simulation.advance(0.05)
+        simulation.advance(1.0)
+        assert all(caller.is_open for caller in callers)
--- a/plantainyoke/packet_balancer/_flow_cache.py
+++ b/plantainyoke/packet_balancer/_flow_cache.py
@@ -40,6 +40,8 @@
         Whether the flow may wait at an agent, because busy ones refused it.
     ignore_failing : bool
         Whether a failing target may accept the flow, because too many are failing.
+    met_failing : bool
+        Whether an agent refused the flow because its target is failing.
     service_name : str
         Name of the service that was selected last.
     attempts : int
@@ -62,6 +64,7 @@
     mostly_cold: bool = False
     may_wait: bool = False
     ignore_failing: bool = False
+    met_failing: bool = False
     service_name: str = ""
     attempts: int = 0
     timed_out: bool = False
--- a/plantainyoke/packet_balancer/_placer.py
+++ b/plantainyoke/packet_balancer/_placer.py
@@ -130,6 +130,7 @@
         entry = self.cache.get(segment.flow)
         if entry is None or entry.holder:
             return
+        entry.met_failing |= refusal == FlowRefusal.FAILING
         if refusal == FlowRefusal.BUSY and not entry.may_wait:
             # The best targets are busy, so the others are no better: the flow waits
             # at one of the best.
@@ -164,6 +165,12 @@
             self.sender.reset_flow(segment, "no_route")
             return
         targets, mostly_cold = self._choose_targets(route, entry, flow, now)
+        if not targets and entry.met_failing and not entry.ignore_failing:
+            # Load reports state no failure while a trial is due, or are not sent to
+            # this balancer yet; a failing target is better than none.
+            entry.ignore_failing = True
+            entry.tried_hosts.clear()
+            targets, mostly_cold = self._choose_targets(route, entry, flow, now)
         if not targets:
             self._end_placement(segment, entry)
             return
