--- a/plantainyoke/flows/_flow_table.py
+++ b/plantainyoke/flows/_flow_table.py
@@ -47,6 +47,8 @@
     idle_packet : bytes
         The caller's latest packet without payload, 36 bytes; empty if there is none of
         which a copy can be sent without an effect on the flow.
+    is_receiving : bool
+        Whether the target has a part of a request, the rest of which is to come.
     """
 
     opened_at: float
@@ -60,6 +62,7 @@
     expected_sequence: int | None = None
     is_reopened: bool = False
     idle_packet: bytes = b""
+    is_receiving: bool = False
 
     def is_new_data(self, segment: Segment) -> bool:
         """Return whether a caller's packet has data that the target does not have.
@@ -181,7 +184,10 @@
         held.ingress = ingress
         held.acknowledged = segment.acknowledged
         self.flows.move_to_end(segment.flow)
-        if held.is_new_data(segment) and not more_follows:
+        is_new_data = held.is_new_data(segment)
+        if is_new_data:
+            held.is_receiving = more_follows
+        if is_new_data and not more_follows:
             held.request_at = now
             self.requests[segment.flow] = held
             held.in_flight_at_request = self.in_flight
@@ -203,6 +209,8 @@
         held.is_closing = held.is_closing or segment.finishes
         if segment.has_acknowledged:
             held.expected_sequence = segment.acknowledged
+        if segment.payload_size:
+            held.is_receiving = False
         if not held.request_at:
             return None
         if segment.payload_size:
