Take out resets at a silent target

Silence for half a second proves neither that the flows are lost nor that the target will not answer, and running work was given up. The frozen target's flows are kept again.

--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -36,7 +36,6 @@
 from plantainyoke.packet_agent._opening import FlowOpener
 from plantainyoke.packet_agent._relay import AgentRelay
 from plantainyoke.packet_agent._sender import AgentTransport, MessageSender
-from plantainyoke.packet_agent._silent_target import SilentTargetDetector
 from plantainyoke.packet_agent._target_probes import TargetProbe, expire_target_probes
 from plantainyoke.packet_node import ALL_FEATURES, FeatureSettings, PacketCodec
 from plantainyoke.placement import FlowAdmission
@@ -154,13 +153,6 @@
             started_at=started_at,
             is_enabled=features.failing_target_detection,
         )
-        self.silent_target = SilentTargetDetector(
-            admission=admission,
-            flow_table=self.flow_table,
-            sender=self.sender,
-            started_at=started_at,
-            is_enabled=features.lost_flow_probes,
-        )
         self.incarnations = IncarnationTracker(
             admission=admission,
             flow_table=self.flow_table,
@@ -369,7 +361,6 @@
     def receive_from_target(self, segment: Segment, now: float) -> None:
         """Handle one packet that the target sent."""
         self.now = now
-        self.silent_target.record_target_packet(now)
         self._handle_target_packet(segment)
         if self.opener.waiting_room.flows:
             self.opener.admit_waiting(now)
--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -149,7 +149,6 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now = loop.time()
-            delivery.silent_target.check(now)
             if delivery.finder.searches.running or delivery.finder.deferred.waiting:
                 delivery.finder.repeat_queries(now)
             if now >= report_at:
--- a/plantainyoke/standins/_packet_simulation.py
+++ b/plantainyoke/standins/_packet_simulation.py
@@ -614,7 +614,6 @@
 
     def _repeat_queries(self, process: Process) -> None:
         if process.is_alive:
-            process.packet_handler.silent_target.check(self.now)
             process.packet_handler.finder.repeat_queries(self.now)
             self.call_later(
                 QUERY_REPEAT_INTERVAL_S, lambda: self._repeat_queries(process)
