Use loopback addresses for the services of the review's cases

Cause: every address in a case has to be a loopback address, also those in routes, to which no socket sends.

Change: the routes of all cases are below 127.198.0.0/16, which no host of the deployment uses.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,7 @@
     run_case,
 )
 
-SERVICE_ADDRESS = "198.18.0.1", 8443
+SERVICE_ADDRESS = "127.198.0.1", 8443
 SERVICES = ["order-desk"]
 FRONTEND_LINK_MBPS = 5.0
 ADDED_ROUTES, ADDITIONS = 1400, 4
@@ -76,7 +76,7 @@
     for addition in range(ADDITIONS):
         first = ADDED_ROUTES * addition
         for number in range(first, first + ADDED_ROUTES):
-            ip = f"198.18.{1 + number // 250}.{1 + number % 250}"
+            ip = f"127.198.{1 + number // 250}.{1 + number % 250}"
             route = make_route(f"r-{number:06}", ip, 8443, "order-desk", kind="safe")
             routes.append(route)
         configuration = make_configuration(10 + 3 * addition, routes, SERVICES)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,7 +18,7 @@
     run_case,
 )
 
-SERVICE_ADDRESS = "198.18.0.1", 8443
+SERVICE_ADDRESS = "127.198.0.1", 8443
 SERVICES = ["order-desk"]
 FLOWS_PER_ZONE = 6
 IDLE_TIMEOUT_MS, RAISED_IDLE_TIMEOUT_MS = 15_000, 30_000
--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -152,7 +152,7 @@
         """Choose a loopback network and ports that are free, and list the hosts."""
         plan = self.plan
         for _ in range(50):
-            self.network = f"127.{random.randrange(20, 250)}"
+            self.network = f"127.{random.randrange(20, 190)}"
             self.base_port = random.randrange(12_000, 28_000)
             self.hosts = {}
             for index in range(plan.balancers):
