Record which processes are ready in case 4

Cause: the claim says that readiness does not show the ended tasks, and the record did not.

Change: the script asks all processes at the end.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -86,6 +86,8 @@
                     f"the flow of {name}, which the target of {holder} holds, was "
                     "reset by the system"
                 )
+        ready = ",".join(await deployment.list_ready())
+        record.write("ready", hosts=ready)
         deployment.record_logs("task_failed", "flow_reset", "search_started")
 
 
