--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -75,6 +75,9 @@
     ejector : TargetEjector
     now : float
         Time of the event that is being handled, in seconds.
+    is_denying : bool
+        Whether packets of unknown flows were denied at the last tick; otherwise they
+        are offered to the target.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         self.target_probes: dict[FlowKey, TargetProbe] = {}
         self.balancers: dict[int, float] = {}
         self.now = 0.0
+        self.is_denying = False
         self.relay = AgentRelay(
             host=host,
             catalogue=catalogue,
@@ -458,6 +462,7 @@
     def tick(self, now: float) -> None:
         """Remove expired state, update homes, and reset a batch of lost flows."""
         self.now = now
+        self._log_denials()
         self.flow_table.expire(now, self.catalogue.configuration.idle_timeout_s)
         self.flow_table.expire_requests(now, self.opener.get_timeout_s)
         self.ejector.tick(now)
@@ -467,3 +472,16 @@
         self.incarnations.reset_lost_flows()
         self.lost_flows.tick(now)
         self.relay.expire(now)
+
+    def _log_denials(self) -> None:
+        """Log that this agent begins or ceases to deny flows that it does not know."""
+        is_denying = not self.incarnations.is_recovering(self.now)
+        if is_denying == self.is_denying:
+            return
+        self.is_denying = is_denying
+        configuration = self.catalogue.configuration
+        log_event(
+            "unknown_flows_denied" if is_denying else "unknown_flows_offered",
+            version=configuration.version,
+            idle_timeout_s=configuration.idle_timeout_s,
+        )
