Deny a flow only by the idle timeout in force, not by that of the start

Cause: at its start, an agent worked out until when its target may hold flows of earlier processes, by the idle timeout then in force. After that it denied every flow that it did not know. The flow table also forgot flows as soon as they exceeded the timeout, so a raise came too late for them.

Ruled out: a search that does not ask the holder; a version that arrived late.

Now the flow table states since when it lacks no flow, and one rule (_flow_knowledge.py) compares this at each question with the timeout in force, plus the time within which a change has to be in force (configApplyMs). Flows beyond the timeout are kept for that time and no longer count as load.

--- a/plantainyoke/flows/_flow_table.py
+++ b/plantainyoke/flows/_flow_table.py
@@ -2,8 +2,11 @@
 
 The table holds open flows and half-open ones, whose first packet the target has not
 accepted yet. It counts the requests in flight and measures the time of their answers.
+Flows that exceeded the idle timeout are kept for a while, because a configuration that
+raises the timeout may be on its way; they no longer count as load.
 """
 
+import itertools
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -124,19 +127,43 @@
     half_open : dict of bytes to HalfOpenFlow
     requests : dict of bytes to HeldFlow
         Flows whose caller waits for an answer.
+    idle_flows : OrderedDict of bytes to HeldFlow
+        Flows that exceeded the idle timeout, the longest idle first.
+    complete_since : float
+        Time in seconds since which the table lacks no flow: one that the target holds
+        and the table lacks had no packet after it.
     """
 
     flows: OrderedDict[FlowKey, HeldFlow] = msgspec.field(default_factory=OrderedDict)
     half_open: dict[FlowKey, HalfOpenFlow] = msgspec.field(default_factory=dict)
     requests: dict[FlowKey, HeldFlow] = msgspec.field(default_factory=dict)
+    idle_flows: OrderedDict[FlowKey, HeldFlow] = msgspec.field(
+        default_factory=OrderedDict
+    )
+    complete_since: float = float("-inf")
 
     @property
     def in_flight(self) -> int:
         """Number of flows whose caller waits for an answer."""
         return len(self.requests)
 
+    def is_held(self, flow: FlowKey) -> bool:
+        """Return whether the target holds a flow as far as the table says."""
+        return flow in self.flows or flow in self.idle_flows
+
+    def find(self, flow: FlowKey) -> HeldFlow | None:
+        """Return a held flow of which a packet arrived, None if it is not in the table.
+
+        A flow that exceeded the idle timeout is in use again.
+        """
+        held = self.idle_flows.pop(flow, None)
+        if held is not None:
+            self.flows[flow] = held
+        return self.flows.get(flow)
+
     def add_half_open(self, flow: FlowKey, half_open: HalfOpenFlow) -> None:
         """Add a flow whose first packet is sent to the target."""
+        self.idle_flows.pop(flow, None)
         self.half_open[flow] = half_open
 
     def count_opening(self, now: float) -> int:
@@ -154,7 +181,7 @@
     def add_held(self, flow: FlowKey, *, ingress: Ingress, now: float) -> HeldFlow:
         """Add a flow that the target holds, or return its present entry."""
         self.half_open.pop(flow, None)
-        held = self.flows.get(flow)
+        held = self.find(flow)
         if held is None:
             held = self.flows[flow] = HeldFlow(now, now, ingress)
         return held
@@ -222,23 +249,29 @@
     def remove(self, flow: FlowKey) -> HeldFlow | None:
         """Remove a flow, and return it if it was held."""
         self.half_open.pop(flow, None)
-        held = self.flows.pop(flow, None)
+        held = self.flows.pop(flow, None) or self.idle_flows.pop(flow, None)
         if held is not None and held.request_at:
             self._end_request(flow, held, held.last_seen_at)
         return held
 
-    def expire(self, now: float, idle_s: float) -> list[tuple[FlowKey, HeldFlow]]:
-        """Remove and return held flows that were idle for ``idle_s``.
+    def expire(self, now: float, *, idle_s: float, retention_s: float) -> None:
+        """Remove flows that had no packet for too long.
 
         Half-open flows that timed out are removed as well.
+
+        Parameters
+        ----------
+        now : float
+        idle_s : float
+            Time after which a held flow no longer counts as load.
+        retention_s : float
+            Time after which it is removed from the table.
         """
-        expired = []
-        for flow, held in self.flows.items():
-            if now - held.last_seen_at < idle_s:
-                break
-            expired.append((flow, held))
-        for flow, _ in expired:
-            self.remove(flow)
+        for flow in _list_idle(self.flows, now - idle_s):
+            self.idle_flows[flow] = self.remove(flow)
+        for flow in _list_idle(self.idle_flows, now - retention_s):
+            removed = self.idle_flows.pop(flow)
+            self.complete_since = max(self.complete_since, removed.last_seen_at)
         stale = [
             flow
             for flow, half_open in self.half_open.items()
@@ -246,7 +279,6 @@
         ]
         for flow in stale:
             del self.half_open[flow]
-        return expired
 
     def expire_requests(
         self, now: float, get_timeout_s: Callable[[FlowKey], float]
@@ -269,3 +301,13 @@
         held.request_at = 0.0
         del self.requests[flow]
         return elapsed
+
+
+def _list_idle(
+    flows: OrderedDict[FlowKey, HeldFlow], last_seen_until: float
+) -> list[FlowKey]:
+    """Return the first flows, which had no packet after a time."""
+    idle = itertools.takewhile(
+        lambda item: item[1].last_seen_at <= last_seen_until, flows.items()
+    )
+    return [flow for flow, _ in idle]
--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -29,6 +29,7 @@
 )
 from plantainyoke.packet_agent._ejection import TargetEjector
 from plantainyoke.packet_agent._finder import HolderFinder
+from plantainyoke.packet_agent._flow_knowledge import FlowKnowledge
 from plantainyoke.packet_agent._incarnation import IncarnationTracker
 from plantainyoke.packet_agent._load_reports import LoadReporter
 from plantainyoke.packet_agent._lost_flows import LostFlowProber
@@ -56,9 +57,11 @@
     metrics : Metrics
     started_at : float
         Time at which this process started, in seconds.
-    recovery_until : float
-        Time up to which the target may hold flows from before this process
-        started.
+    complete_since : float
+        Time from which on this process sees every packet of the target's flows;
+        negative infinity if the target holds none that are older.
+    configuration_apply_s : float
+        Time within which a published configuration is in force.
     features : FeatureSettings, optional
         By default all features are on.
 
@@ -71,13 +74,11 @@
     balancers : dict of int to float
         Time at which each balancer was heard last, by host.
     incarnations : IncarnationTracker
+    knowledge : FlowKnowledge
     observer : TargetObserver
     ejector : TargetEjector
     now : float
         Time of the event that is being handled, in seconds.
-    is_denying : bool
-        Whether packets of unknown flows were denied at the last tick; otherwise they
-        are offered to the target.
     """
 
     def __init__(
@@ -90,7 +91,8 @@
         codec: PacketCodec,
         metrics: Metrics,
         started_at: float,
-        recovery_until: float,
+        complete_since: float,
+        configuration_apply_s: float,
         features: FeatureSettings = ALL_FEATURES,
     ) -> None:
         self.host = host
@@ -100,11 +102,15 @@
         self.codec = codec
         self.metrics = metrics
         self.features = features
-        self.flow_table = FlowTable()
+        self.flow_table = FlowTable(complete_since=complete_since)
+        self.knowledge = FlowKnowledge(
+            catalogue=catalogue,
+            flow_table=self.flow_table,
+            configuration_apply_s=configuration_apply_s,
+        )
         self.target_probes: dict[FlowKey, TargetProbe] = {}
         self.balancers: dict[int, float] = {}
         self.now = 0.0
-        self.is_denying = False
         self.relay = AgentRelay(
             host=host,
             catalogue=catalogue,
@@ -161,8 +167,6 @@
             admission=admission,
             flow_table=self.flow_table,
             sender=self.sender,
-            started_at=started_at,
-            recovery_until=recovery_until,
         )
         self.finder = HolderFinder(
             host=host,
@@ -218,7 +222,7 @@
     def _deliver(self, segment: Segment, message: Message, source: int) -> None:
         """Deliver a packet if the target holds the flow or may hold it, else deny."""
         flow = segment.flow
-        held = self.flow_table.flows.get(flow)
+        held = self.flow_table.find(flow)
         if held is None:
             held = self._open_if_confirmed(segment, message, source)
         if held is not None:
@@ -243,7 +247,7 @@
             return
         is_search = message.kind == MessageKind.PROBE
         if (
-            self.incarnations.is_recovering(self.now)
+            not self.knowledge.is_complete(self.now)
             and flow not in self.flow_table.half_open
         ):
             self.metrics.counters["packet.inquired"] += 1
@@ -325,7 +329,7 @@
     def _receive_find(self, message: Message, source: int) -> None:
         segment = self.codec.parse_caller_packet(message.body)
         flow = segment.flow
-        if flow in self.flow_table.flows or self._open_if_confirmed(
+        if self.flow_table.is_held(flow) or self._open_if_confirmed(
             segment, message, source
         ):
             self._deliver(segment, message, source)
@@ -342,14 +346,7 @@
 
     def _receive_query(self, message: Message, source: int) -> None:
         flow = decode_flow_key(message.body)
-        if flow in self.flow_table.flows:
-            knowledge = Knowledge.HOLDS
-        elif flow in self.flow_table.half_open or self.incarnations.is_recovering(
-            self.now
-        ):
-            knowledge = Knowledge.UNSURE
-        else:
-            knowledge = Knowledge.DENIES
+        knowledge = self.knowledge.get_knowledge(flow, self.now)
         self._answer_query(flow, knowledge, source, message.ingress)
 
     def _receive_query_answer(self, message: Message, source: int) -> None:
@@ -379,7 +376,7 @@
         if segment.opens:
             self.opener.receive_acceptance(segment)
             return
-        held = self.flow_table.flows.get(flow)
+        held = self.flow_table.find(flow)
         if held is None:
             if segment.resets:
                 self.target_probes.pop(flow, None)
@@ -462,8 +459,7 @@
     def tick(self, now: float) -> None:
         """Remove expired state, update homes, and reset a batch of lost flows."""
         self.now = now
-        self._log_denials()
-        self.flow_table.expire(now, self.catalogue.configuration.idle_timeout_s)
+        self.knowledge.tick(now)
         self.flow_table.expire_requests(now, self.opener.get_timeout_s)
         self.ejector.tick(now)
         self.opener.admit_waiting(now)
@@ -472,16 +468,3 @@
         self.incarnations.reset_lost_flows()
         self.lost_flows.tick(now)
         self.relay.expire(now)
-
-    def _log_denials(self) -> None:
-        """Log that this agent begins or ceases to deny flows that it does not know."""
-        is_denying = not self.incarnations.is_recovering(self.now)
-        if is_denying == self.is_denying:
-            return
-        self.is_denying = is_denying
-        configuration = self.catalogue.configuration
-        log_event(
-            "unknown_flows_denied" if is_denying else "unknown_flows_offered",
-            version=configuration.version,
-            idle_timeout_s=configuration.idle_timeout_s,
-        )
--- a/plantainyoke/packet_agent/_incarnation.py
+++ b/plantainyoke/packet_agent/_incarnation.py
@@ -26,12 +26,6 @@
     flow_table : FlowTable
         Flows of the target.
     sender : MessageSender
-    started_at : float
-        Time at which this process started, in seconds.
-    recovery_until : float
-        Time up to which the target may hold flows from before this process
-        started; until then, packets of unknown flows are sent to the target to find
-        out whether it holds them.
 
     Attributes
     ----------
@@ -47,33 +41,19 @@
         admission: FlowAdmission,
         flow_table: FlowTable,
         sender: MessageSender,
-        started_at: float,
-        recovery_until: float,
     ) -> None:
         self.admission = admission
         self.flow_table = flow_table
         self.sender = sender
-        self.started_at = started_at
-        self.recovery_until = recovery_until
         self.flows_to_reset: list[FlowKey] = []
         self.incarnation: tuple[str, int] | None = None
 
-    def limit_recovery(self, until: float) -> None:
-        """Set the time up to which the target may hold flows of earlier processes."""
-        self.recovery_until = min(self.recovery_until, until)
-
-    def is_recovering(self, now: float) -> bool:
-        """Return whether the target may hold flows of which this process knows nothing.
-
-        It cannot if it is as young as this process.
-        """
-        return now < self.recovery_until
-
     def record_target(self, now: float, *, unix_s: float) -> None:
         """Record the published entry of the target.
 
         Flows of an earlier incarnation of the target are reset before their callers
-        send requests on them.
+        send requests on them. If the target is as young as what this process has seen
+        of it, the table has all of its flows.
 
         Parameters
         ----------
@@ -90,8 +70,8 @@
         age_s = unix_s - target.born_ms / 1000
         # A negative age shows that the clock was set: it says nothing about the flows.
         # Those that the target lost are reset when it returns their next packets.
-        if 0 <= age_s < now - self.started_at + START_MARGIN_S:
-            self.recovery_until = 0.0
+        if 0 <= age_s < now - self.flow_table.complete_since + START_MARGIN_S:
+            self.flow_table.complete_since = float("-inf")
         if self.incarnation is not None and age_s >= 0:
             self._schedule_resets(target, age_s, now)
         self.incarnation = incarnation
--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -44,7 +44,7 @@
             settings.service,
         )
         self.zone_was_out = False
-        self.started_at = node.loop.time()
+        started_at = node.loop.time()
         self.delivery = PacketDelivery(
             host=settings.host,
             catalogue=node.catalogue,
@@ -56,8 +56,9 @@
             ),
             codec=node.codec,
             metrics=node.metrics,
-            started_at=self.started_at,
-            recovery_until=0.0 if settings.is_bootstrap else float("inf"),
+            started_at=started_at,
+            complete_since=float("-inf") if settings.is_bootstrap else started_at,
+            configuration_apply_s=settings.configuration_apply_s,
             features=settings.features,
         )
         node.get_work_time_s = self._get_work_time_s
@@ -75,9 +76,6 @@
         node.exit_stack.callback(self.target_socket.close)
         node.listen_for_messages(self.delivery.receive_message)
         await node.load_catalogue()
-        # Flows that are idle for longer than this may be dropped in any case.
-        idle_s = node.catalogue.configuration.idle_timeout_s
-        self.delivery.incarnations.limit_recovery(self.started_at + idle_s)
         node.start_task(self._run_timers(), name="timers")
         node.is_ready = True
         log_event(
@@ -100,15 +98,16 @@
 
     def describe_flow(self, flow: FlowKey) -> dict:
         """Return this agent's state of a flow, the answer to ``/explain``."""
+        now = self.node.loop.time()
         held = self.delivery.flow_table.flows.get(flow)
         answer = {
+            "knowledge": self.delivery.knowledge.get_knowledge(flow, now).name.lower(),
             "held": held is not None,
             "half_open": flow in self.delivery.flow_table.half_open,
             "pointer": self.delivery.finder.holder_table.find(flow),
             "searching": flow in self.delivery.finder.searches.running,
         }
         if held is not None:
-            now = self.node.loop.time()
             answer["open_s"] = round(now - held.opened_at, 3)
             answer["idle_s"] = round(now - held.last_seen_at, 3)
         return answer
--- a/plantainyoke/packet_node/_settings.py
+++ b/plantainyoke/packet_node/_settings.py
@@ -72,6 +72,8 @@
         Multiple of a cold target's configured rate of new flows that is tolerated.
     cold_extra_flows_per_s : float
         New flows per second that are tolerated on top of that multiple.
+    configuration_apply_s : float
+        Time within which a published configuration is in force in every process.
     features : FeatureSettings
     """
 
@@ -92,4 +94,5 @@
     grace_s: float
     cold_overshoot_factor: float
     cold_extra_flows_per_s: float
+    configuration_apply_s: float
     features: FeatureSettings = ALL_FEATURES
--- a/plantainyoke/platform/_settings.py
+++ b/plantainyoke/platform/_settings.py
@@ -39,6 +39,7 @@
     grace_s: float = 6.0
     cold_overshoot: float = 1.5
     cold_slack: float = 5.0
+    config_apply_ms: float = 6000.0
 
 
 class _Store(msgspec.Struct, rename="camel"):
@@ -104,5 +105,6 @@
         grace_s=file.bounds.grace_s,
         cold_overshoot_factor=file.bounds.cold_overshoot,
         cold_extra_flows_per_s=file.bounds.cold_slack,
+        configuration_apply_s=file.bounds.config_apply_ms / 1000,
         features=file.features,
     )
--- a/plantainyoke/standins/_packet_simulation.py
+++ b/plantainyoke/standins/_packet_simulation.py
@@ -48,6 +48,7 @@
 TICK_INTERVAL_S = 0.02
 LOAD_REPORT_INTERVAL_S = 0.25
 QUERY_REPEAT_INTERVAL_S = 0.05
+CONFIGURATION_APPLY_S = 3.0  # bound in the settings of the agents
 
 
 def write_packet(
@@ -421,7 +422,7 @@
         host : int
         is_bootstrap : bool, default=False
             Whether its target holds no flows from before this start; otherwise the
-            agent offers flows that it does not know to the target for 15 s.
+            agent offers packets of flows that it does not know to the target.
         has_catalogue : bool, default=True
             Whether it starts with the published catalogue. Otherwise it starts with an
             empty one and applies a snapshot at the next published change.
@@ -440,7 +441,8 @@
             codec=PACKET_CODEC,
             metrics=self._get_metrics(host),
             started_at=self.now,
-            recovery_until=0.0 if is_bootstrap else self.now + 15.0,
+            complete_since=float("-inf") if is_bootstrap else self.now,
+            configuration_apply_s=CONFIGURATION_APPLY_S,
             features=self.features,
         )
         catalogue.listeners.append(
