Reject target entries with values that cannot be passed on

Cause: the parser took any integer for slots and for the time of birth; behind it are 64 bits in messages between processes and 16 in load reports. The first step that could not carry the value raised an OverflowError in the task that reads the store, which ended.

Now every field of an entry has a type and a range that all code behind can carry. Names are bounded by the store's keys, addresses exclude 0.0.0.0, which stands for an unknown host, and groups. The test that an accepted target can be sent to another process draws values of any kind.

--- a/plantainyoke/network/_address.py
+++ b/plantainyoke/network/_address.py
@@ -59,7 +59,7 @@
         If the host is not a dotted IPv4 address or the port is not 1 to 65535.
     """
     host, separator, port_text = text.rpartition(":")
-    if not separator or not port_text.isdigit():
+    if not separator or not (port_text.isascii() and port_text.isdigit()):
         raise AddressError(text, "is not an IPv4 address and port")
     port = int(port_text)
     if not 0 < port <= PORT_MASK:
--- a/plantainyoke/platform/_entries.py
+++ b/plantainyoke/platform/_entries.py
@@ -6,13 +6,16 @@
 
 import base64
 import binascii
+from typing import Annotated
 
 import msgspec
 
 from plantainyoke.catalogue import RouteConfiguration, Target
 from plantainyoke.network import parse_address, parse_host
 from plantainyoke.platform._configuration import (
+    MAX_INTEGER,
     ConfigurationEntry,
+    Integer,
     translate_route,
     translate_service,
 )
@@ -20,8 +23,20 @@
 CONFIGURATION_KEY = "op/config"
 ZONE_OUT_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
-# RecursionError: the value is nested too deeply.
-INVALID_ENTRY_ERRORS = (ValueError, OSError, msgspec.MsgspecError, RecursionError)
+# RecursionError: the value is nested too deeply. OverflowError: a number is too large
+# for a conversion.
+INVALID_ENTRY_ERRORS = (
+    ValueError,
+    OSError,
+    OverflowError,
+    msgspec.MsgspecError,
+    RecursionError,
+)
+MAX_NAME_LENGTH = 200  # of a key of the store, which contains names
+MAX_SLOTS = 0xFFFF  # load reports have 16 bits for them
+FIRST_MULTICAST_HOST = 0xE0000000  # 224.0.0.0; no host has this or a later address
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
 
 
 class EntryError(Exception):
@@ -29,13 +44,14 @@
 
 
 class _Target(msgspec.Struct, rename="camel"):
-    service: str
+    service: Name
     address: str
-    zone: str
+    zone: Name
     state: str
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 1
     cold_left_ms: float = 0.0
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)] = 0
+    sequence: Integer = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(ConfigurationEntry)
@@ -82,21 +98,26 @@
     Raises
     ------
     EntryError
-        If another program wrote the entry (a field is missing or has another type), or
-        if the state or the address is invalid.
+        If another program wrote the entry (a field is missing, has another type or is
+        out of range), or if the name, the state or the address is invalid.
     """
+    if not 0 < len(name) <= MAX_NAME_LENGTH:
+        raise EntryError(f"name of {len(name)} characters")
     try:
         document = _target_decoder.decode(value)
         if document.state not in ("ready", "draining"):
             raise EntryError(f"target {name}: unknown state {document.state!r}")
         ip, port = parse_address(document.address)
+        host = parse_host(ip)
+        if not 0 < host < FIRST_MULTICAST_HOST:
+            raise EntryError(f"target {name}: {ip} is not the address of a host")
         return Target(
             name,
             document.service,
-            parse_host(ip),
+            host,
             port,
             document.zone,
-            max(1, document.slots),
+            document.slots,
             document.state == "draining",
             document.cold_left_ms > 0,
             document.born,
--- a/plantainyoke/platform/tests/test_entries.py
+++ b/plantainyoke/platform/tests/test_entries.py
@@ -1,11 +1,13 @@
 import base64
 import json
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from plantainyoke.catalogue import RouteShare
+from plantainyoke.catalogue import Catalogue, CatalogueChange, RouteShare
+from plantainyoke.catalogue._subscription import CatalogueFrame, encode_catalogue_frame
 from plantainyoke.platform._entries import (
     EntryError,
     decode_value,
@@ -95,6 +97,94 @@
         assert decode_value(base64.b64encode(b"abc").decode()) == b"abc"
 
 
+# Values of another writer that are valid JSON, and that a process cannot pass on, hash
+# or compute with.
+ODD_VALUES = {
+    "slots": [2**127, 2**64, 2**63, -1, 0, 1.5, True, None],
+    "born": [2**127, 2**63, -1, "now", None],
+    "sequence": [2**127, -(2**64), "1"],
+    "coldLeftMs": [10**400, "soon", None],
+    "service": ["", "x" * 201, 7],
+    "zone": ["", "z" * 100_000, None],
+    "address": [
+        "10.1.0.40:0",
+        "10.1.0.40:65536",
+        "10.1.0.40:-1",
+        "10.1.0.40:" + "9" * 5000,
+        "10.1.0.40:\u0663",
+        "10.1.0.40:\u00b2",
+        "10.1.0.40",
+        "0.0.0.0:80",
+        "224.0.0.1:80",
+        "255.255.255.255:80",
+        "10.1.0.400:80",
+        "host\0:80",
+        ":80",
+    ],
+}
+
+
+class TestOddEntries:
+    @pytest.mark.parametrize(
+        "field, value",
+        [(name, value) for name, values in ODD_VALUES.items() for value in values],
+        ids=lambda value: str(value)[:24],
+    )
+    def test_value_out_of_range_is_rejected(self, field, value):
+        # 128 bits in slots were accepted and could not be sent to other processes,
+        # which ended the task that reads the store (review/4).
+        with pytest.raises(EntryError):
+            _target(**{field: value})
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b'{"extra": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+            b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+            b'{"slots": 1e400}',
+            b'{"slots": ' + b"9" * 5000 + b"}",
+            b'{"coldLeftMs": -1e400}',
+            b'{"service": "\\ud800"}',
+            b'{"service": "\xed\xa0\x80"}',
+        ],
+        ids=["lists", "objects", "float", "digits", "negative", "escape", "surrogate"],
+    )
+    def test_value_that_no_decoder_accepts_is_rejected(self, value):
+        # Deep nesting and large numbers raise other errors than malformed JSON.
+        rest = json.dumps(TARGET).encode()[1:]
+        with pytest.raises(EntryError):
+            parse_target("i-1", value[:-1] + b", " + rest)
+
+    @pytest.mark.parametrize("name", ["", "n" * 201])
+    def test_name_out_of_range_is_rejected(self, name):
+        with pytest.raises(EntryError):
+            parse_target(name, json.dumps(TARGET).encode())
+
+    @given(
+        st.sampled_from(sorted(TARGET)),
+        st.one_of(
+            st.integers(),
+            st.integers(min_value=2**60, max_value=2**70),
+            st.floats(allow_nan=False),
+            st.text(max_size=300),
+            st.none(),
+            st.booleans(),
+        ),
+    )
+    def test_accepted_target_can_be_sent_to_other_processes(self, field, value):
+        # What a process accepts but cannot pass on ends the task that reads the store.
+        try:
+            target = _target(**{field: value})
+        except EntryError:
+            return
+        change = CatalogueChange(0, 1, targets=(target,))
+        frame = encode_catalogue_frame(CatalogueFrame(0, change))
+        assert msgspec.msgpack.decode(frame[4:], type=CatalogueFrame).change == change
+        catalogue = Catalogue()
+        assert catalogue.apply(change, 0.0)
+        assert len(catalogue.rings_by_zone) == 1
+
+
 class TestConfigurations:
     def test_fields_are_translated(self):
         configuration = parse_configuration(json.dumps(CONFIGURATION).encode())
--- a/plantainyoke/tests/test_packet_processes.py
+++ b/plantainyoke/tests/test_packet_processes.py
@@ -250,6 +250,74 @@
         fleet(scenario)
 
 
+class TestOddEntries:
+    """Another writer leaves entries among those of the targets."""
+
+    # Readers ended or stopped following the store on some of these (review/4).
+    CONTENTS = (
+        b"\xff\x00",
+        b"[1]",
+        b"[" * 100_000 + b"]" * 100_000,
+        b'{"service": "orders", "a": ' + b'{"a":' * 50_000 + b"1" + b"}" * 50_001,
+    )
+    CHANGES = (
+        {"slots": 2**127},
+        {"born": 2**100},
+        {"sequence": -(2**200)},
+        {"coldLeftMs": 10**400},
+        {"address": "10.1.0.40:65536"},
+        {"address": "10.1.0.40:" + "9" * 5000},
+        {"address": "0.0.0.0:80"},
+        {"zone": "z" * 100_000},
+        {"service": ""},
+        {"state": "x" * 100_000},
+    )
+
+    def _write(self, fleet):
+        host = fleet.hosts["agent-1"]
+        entry = json.loads(fleet.store.written[f"servers/{host.entry}"])
+        odd = [json.dumps({**entry, **changes}).encode() for changes in self.CHANGES]
+        for number, content in enumerate([*self.CONTENTS, *odd]):
+            fleet.store.put_bytes(f"servers/exporter-{number}", content)
+            # Readers get each in an answer of its own, and some together with others.
+            fleet.store.put_bytes("servers/" + "n" * 199 + str(number), content)
+
+    async def _check(self, fleet, callers, processes):
+        """Check that no process ended and that changes are still in force."""
+        fleet.publish_shares(orders=2)
+        await asyncio.sleep(1.0)
+        for name, process in processes.items():
+            assert process.poll() is None
+            status = json.loads(await asyncio.to_thread(_fetch, fleet, name, "/status"))
+            assert status["ready"] and status["version"] == fleet.version
+            assert "task.failed" not in status["counters"]
+        await _send_requests(fleet, callers)
+
+    def test_entries_written_while_processes_run(self, fleet):
+        async def scenario(fleet):
+            callers = await _open_flows(fleet, 10)
+            processes = {name: host.process for name, host in fleet.hosts.items()}
+            self._write(fleet)
+            await self._check(fleet, callers, processes)
+
+        fleet(scenario)
+
+    def test_entries_that_are_there_when_all_processes_start(self, fleet):
+        async def scenario(fleet):
+            callers = await _open_flows(fleet, 10)
+            self._write(fleet)
+            fleet.store.mode = "busy"
+            for name in fleet.hosts:
+                await fleet.restart(name, signal.SIGKILL)
+            await asyncio.sleep(1.0)
+            fleet.store.mode = "up"
+            processes = {name: host.process for name, host in fleet.hosts.items()}
+            await fleet.wait_until_ready(*fleet.hosts)
+            await self._check(fleet, callers, processes)
+
+        fleet(scenario)
+
+
 def _quote_flow(fleet, caller):
     """Return the name of a caller's flow, quoted for a URL."""
     port = int.from_bytes(caller.flow[4:6], "big")
