Start essential tasks again when they fail, and show it

The process stayed ready, served its view to subscribers until it was stale, and never read the store again; one log line was the only sign.

Cause: only the errors of the store were handled, and a task that ends is not started again.

A reader that fails tells its subscribers at once, as after a refused call, and follows others. Errors in callbacks of sockets and timers are counted and logged as well. task_failed has the place of the error; a field of a log line has at most 500 characters, since errors quote what they reject.

Ending the process instead was weighed: it loses the flow table, and an entry that stays makes all processes end again and again.

--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -210,33 +210,43 @@
     # Task that reads the store.
 
     async def run_reader(self) -> None:
-        """Read the store whenever this process is a reader, until cancelled."""
+        """Read the store whenever this process is a reader, until cancelled.
+
+        If it ends by any other error than one of the store, the process is no source
+        for others until a later run has read the store.
+        """
         backoff_s = MIN_BACKOFF_S
         while True:
             await self._wait_for_turn()
             started = self.loop.time()
             try:
                 update = await self.read(self.catalogue.position)
+                self._record_success(update)
+                self._apply_update(update)
             except self.store_errors as error:
                 self.metrics.counters["store.failed"] += 1
                 log_event(
                     "store_failed", error=str(error), age_s=self._get_rounded_age_s()
                 )
                 self._record_failure()
-                self.first_read_done.set()
                 await asyncio.sleep(backoff_s * self.jitter())
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
                 continue
-            if self.is_failing:
-                log_event("store_regained", revision=update.revision)
-            self.is_failing = False
-            self.first_read_done.set()
+            except Exception:
+                self._record_failure()
+                raise
             backoff_s = MIN_BACKOFF_S
-            self._apply_update(update)
             spent = self.loop.time() - started
             await asyncio.sleep(max(0.0, MIN_READ_INTERVAL_S - spent))
 
+    def _record_success(self, update: StoreUpdate) -> None:
+        if self.is_failing:
+            log_event("store_regained", revision=update.revision)
+        self.is_failing = False
+        self.first_read_done.set()
+
     def _record_failure(self) -> None:
+        self.first_read_done.set()
         if not self.is_failing:
             self.is_failing = True
             self.server.broadcast_age()
@@ -305,7 +315,10 @@
 
     def _confirm(self) -> None:
         self.confirmation = None
-        change = self.catalogue.confirm(self.loop.time())
+        try:
+            change = self.catalogue.confirm(self.loop.time())
+        finally:
+            self._schedule_confirmation()
         if change is not None:
             log_event(
                 "catalogue_confirmed",
@@ -316,7 +329,6 @@
                 removed=len(change.removed),
                 zones_out=",".join(sorted(self.catalogue.zones_out)) or None,
             )
-        self._schedule_confirmation()
 
     def close(self) -> None:
         """Cancel the timer."""
--- a/plantainyoke/catalogue/tests/test_follower.py
+++ b/plantainyoke/catalogue/tests/test_follower.py
@@ -14,7 +14,7 @@
 )
 from plantainyoke.hashing import compute_zone_id, rank_by_rendezvous
 from plantainyoke.network import format_host, parse_host
-from plantainyoke.telemetry import Metrics
+from plantainyoke.telemetry import Metrics, TaskSet
 
 ZONE = "a"
 PORT = 17_720
@@ -37,6 +37,7 @@
         self.changed = asyncio.Event()
         self.calls: dict[int, int] = {}
         self.refused: set[int] = set()
+        self.unusable: set[int] = set()  # readers that get what they cannot handle
         self.delay_s = 0.0
 
     def publish(self, *targets: Target, version: int = 0) -> None:
@@ -68,6 +69,8 @@
                     pass
             if host in self.refused:
                 raise StoreDownError
+            if host in self.unusable:
+                raise OverflowError
             return StoreUpdate(
                 self.revision,
                 not after.revision or after.epoch != self.epoch,
@@ -117,9 +120,10 @@
             jitter=lambda: 1.0 + (host % 7 - 3) / 10,
         )
         await follower.server.listen((format_host(host), PORT), self.stack)
-        for coroutine in (follower.run_reader(), follower.run_subscriber()):
-            task = asyncio.get_running_loop().create_task(coroutine)
-            self.stack.callback(task.cancel)
+        tasks = TaskSet(follower.metrics)
+        self.stack.push_async_callback(tasks.aclose)
+        tasks.start_essential_task(follower.run_reader, name="reader")
+        tasks.start_essential_task(follower.run_subscriber, name="subscriber")
         await follower.loaded.wait()
 
     def list_versions(self) -> set[int]:
@@ -249,6 +253,33 @@
 
         run_fleet(6, scenario)
 
+    def test_reader_that_fails_on_an_answer_follows_others_and_recovers(
+        self, run_fleet
+    ):
+        # Its task ended for good. It went on to serve its view, so that the other
+        # processes of the zone noticed only when the view was stale (review/4).
+        async def scenario(fleet):
+            await fleet.start()
+            await asyncio.sleep(1.5)
+            fleet.store.calls.clear()
+            await asyncio.sleep(2 * WATCH_S)
+            (reader,) = fleet.store.calls
+            fleet.store.unusable.add(reader)
+            await asyncio.sleep(WATCH_S + PROPAGATION_LIMIT_S)
+            fleet.store.publish(version=9)
+            await asyncio.sleep(PROPAGATION_LIMIT_S)
+            assert fleet.list_versions() == {9}
+            fleet.store.unusable.clear()
+            await asyncio.sleep(3.0)
+            follower = fleet.followers[reader]
+            assert follower.metrics.counters["task.failed"]
+            assert not follower.is_failing
+            fleet.store.publish(version=11)
+            await asyncio.sleep(PROPAGATION_LIMIT_S)
+            assert fleet.list_versions() == {11}
+
+        run_fleet(6, scenario)
+
     def test_process_refused_by_the_store_loads_from_other_processes(self, run_fleet):
         async def scenario(fleet):
             await fleet.start(*fleet.hosts[:5])
--- a/plantainyoke/packet_agent/_program.py
+++ b/plantainyoke/packet_agent/_program.py
@@ -76,7 +76,7 @@
         node.exit_stack.callback(self.target_socket.close)
         node.listen_for_messages(self.delivery.receive_message)
         await node.load_catalogue()
-        node.start_task(self._run_timers(), name="timers")
+        node.start_essential_task(self._run_timers, name="timers")
         node.is_ready = True
         log_event(
             "ready",
--- a/plantainyoke/packet_balancer/_program.py
+++ b/plantainyoke/packet_balancer/_program.py
@@ -68,7 +68,7 @@
             node.settings.packet_address, self._receive_packet, node.metrics
         )
         node.exit_stack.callback(self.packet_socket.close)
-        node.start_task(self._run_timers(), name="timers")
+        node.start_essential_task(self._run_timers, name="timers")
         node.is_ready = True
         log_event(
             "ready",
--- a/plantainyoke/packet_node/_node.py
+++ b/plantainyoke/packet_node/_node.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import os
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from typing import Protocol
 
@@ -93,7 +93,8 @@
     metrics : Metrics
     catalogue : Catalogue
     is_ready : bool
-        Whether the process can serve, as the readiness check reports it.
+        Whether the process has started and is not draining.
+    tasks : TaskSet
     socket : DatagramSocket, optional
         Socket for messages, None before `listen_for_messages`.
     follower : CatalogueFollower, optional
@@ -135,6 +136,14 @@
         self.queries["/status"] = lambda _: self.describe()
         self.queries["/configuration"] = self._serve_configuration_page
 
+    @property
+    def can_serve(self) -> bool:
+        """Whether the process is ready and none of its essential tasks keeps failing.
+
+        Routers use all balancers of a zone if too few of them can serve.
+        """
+        return self.is_ready and not self.tasks.failing
+
     def get_address(self, host: int) -> Address:
         """Return the address at which a host's process receives messages and links."""
         address = self.addresses.get(host)
@@ -152,9 +161,10 @@
         settings = self.settings
         link_address = settings.ip, settings.messages_port
         handlers = {
-            READY_PATH: lambda _: Response(200 if self.is_ready else 503),
+            READY_PATH: lambda _: Response(200 if self.can_serve else 503),
             "/metrics": lambda _: self._serve_metrics(),
         }
+        self.loop.set_exception_handler(self._record_callback_failure)
         self.exit_stack.push_async_callback(self.tasks.aclose)
         self.exit_stack.callback(self.reader.close)
         self.follower = CatalogueFollower(
@@ -180,8 +190,8 @@
 
     async def load_catalogue(self) -> None:
         """Start to follow the catalogue, and wait until it is loaded."""
-        self.start_task(self.follower.run_reader(), name="reader")
-        self.start_task(self.follower.run_subscriber(), name="subscriber")
+        self.start_essential_task(self.follower.run_reader, name="reader")
+        self.start_essential_task(self.follower.run_subscriber, name="subscriber")
         await self.follower.loaded.wait()
 
     def listen_for_messages(self, receive: MessageHandler) -> None:
@@ -230,9 +240,11 @@
             self.follower.record_pause(gap_s)
         return bool(gap_s)
 
-    def start_task(self, coroutine: Coroutine, *, name: str) -> asyncio.Task:
-        """Start a task that runs until the node closes; a failure is logged."""
-        return self.tasks.start_task(coroutine, name=name)
+    def start_essential_task(
+        self, run: Callable[[], Awaitable[None]], *, name: str
+    ) -> asyncio.Task:
+        """Run a coroutine function until the node closes, again whenever it fails."""
+        return self.tasks.start_essential_task(run, name=name)
 
     def describe(self) -> dict:
         """Return the state that ``plantainyokectl status`` shows."""
@@ -240,7 +252,8 @@
         return {
             "name": self.settings.name,
             "zone": self.settings.zone,
-            "ready": self.is_ready,
+            "ready": self.can_serve,
+            "failing_tasks": sorted(self.tasks.failing),
             "epoch": catalogue.epoch,
             "revision": catalogue.revision,
             "version": catalogue.configuration.version,
@@ -252,6 +265,13 @@
             "counters": dict(sorted(self.metrics.counters.items())),
         }
 
+    def _record_callback_failure(
+        self, loop: asyncio.AbstractEventLoop, context: dict
+    ) -> None:
+        """Count and log an error in a callback, of one datagram or timer."""
+        error = context.get("exception")
+        self.tasks.record_failure(context["message"], error)
+
     def _serve_configuration_page(
         self, parameters: dict[str, str]
     ) -> ConfigurationPage | dict:
--- a/plantainyoke/telemetry/_bounded.py
+++ b/plantainyoke/telemetry/_bounded.py
@@ -64,7 +64,7 @@
             line = f"event=log_dropped lines={self.dropped}\n{line}"
             self.dropped = 0
             self.reported_at = now
-        self._write(line.encode())
+        self._write(line.encode(errors="backslashreplace"))
 
     def _write(self, data: bytes) -> None:
         if self.unwritten:
--- a/plantainyoke/telemetry/_logging.py
+++ b/plantainyoke/telemetry/_logging.py
@@ -10,6 +10,7 @@
 from plantainyoke.telemetry._bounded import BoundedHandler
 
 LOGGER_NAME = "plantainyoke"
+MAX_VALUE_LENGTH = 500  # of a field; messages of errors may quote what they reject
 
 
 class KeyValueFormatter(BaseJsonFormatter):
@@ -31,6 +32,8 @@
 
 def _quote(value) -> str:
     text = str(value)
+    if len(text) > MAX_VALUE_LENGTH:
+        text = f"{text[:MAX_VALUE_LENGTH]}..."
     if text and not any(character in text for character in ' "=\n\r\t'):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
