Bound what the store's answers state, item by item

Seen in tests on the code before (14 of TestOddAnswers in platform/tests/test_reader.py fail, and the test of repeated pages does not end): an epoch of thousands of digits raised a ValueError that ended the task that reads the store; a revision above 64 bits was accepted and could not be sent to other processes; one malformed item made the whole answer count as no answer, for as long as it was there; a page that repeats was read for ever.

Now revisions and epochs are limited to what messages can carry, items are decoded one by one and a malformed one is logged (item_unusable), and a page that does not advance the listing is an error of the store. Pages are translated as they arrive, so that the raw values of all of them are never in memory together: other writers' values of 1 MB each would add up.

--- a/plantainyoke/platform/_reader.py
+++ b/plantainyoke/platform/_reader.py
@@ -76,29 +76,41 @@
             try:
                 changed = await self.store.watch(ALL_KEYS, after.revision, WATCH_WAIT_S)
                 if changed.epoch == after.epoch:
-                    return _translate(changed, is_snapshot=False)
+                    update = StoreUpdate(changed.revision, False, epoch=changed.epoch)
+                    _apply_items(changed, update)
+                    return update
             except HistoryGoneError:
                 log_event("store_history_gone", revision=after.revision)
-        listed = await self.store.list(ALL_KEYS)
-        if after.revision and listed.epoch != after.epoch:
+        update = await self._read_snapshot()
+        if after.revision and update.epoch != after.epoch:
             log_event(
                 "store_restored",
-                epoch=listed.epoch,
-                revision=listed.revision,
+                epoch=update.epoch,
+                revision=update.revision,
                 known_epoch=after.epoch,
                 known_revision=after.revision,
             )
-        return _translate(listed, is_snapshot=True)
+        return update
 
+    async def _read_snapshot(self) -> StoreUpdate:
+        """Return everything that exists; each page is translated when it arrives.
 
-def _translate(listing: Listing, *, is_snapshot: bool) -> StoreUpdate:
-    update = StoreUpdate(listing.revision, is_snapshot, epoch=listing.epoch)
+        Pages of an earlier epoch are dropped if the store is restored meanwhile.
+        """
+        update = None
+        async for page in self.store.list_pages(ALL_KEYS):
+            if update is None or page.epoch != update.epoch:
+                update = StoreUpdate(page.revision, True, epoch=page.epoch)
+            _apply_items(page, update)
+        return update
+
+
+def _apply_items(listing: Listing, update: StoreUpdate) -> None:
     for item in listing.items:
         try:
             _apply_item(item, update)
         except EntryError as error:
             log_event("entry_unusable", key=item.key, error=str(error))
-    return update
 
 
 def _apply_item(item: Item, update: StoreUpdate) -> None:
--- a/plantainyoke/platform/_store.py
+++ b/plantainyoke/platform/_store.py
@@ -4,21 +4,31 @@
 connection, of HTTP and of decoding are raised as `StoreError`.
 """
 
+import re
+from collections.abc import AsyncIterator
+from typing import Annotated
+
 import msgspec
 
 from plantainyoke.network import Address, HttpClient, HttpError, Response
+from plantainyoke.platform._configuration import MAX_INTEGER
+from plantainyoke.telemetry import log_event
 
 READ_TIMEOUT_S = 1.5  # the store answers in milliseconds, in slow phases in 0.3 s
 EPOCH_HEADER = "store-era"  # the platform's name of the epoch
+EPOCH_PATTERN = re.compile("[0-9]{1,18}")  # fits the integers of 64 bits in messages
+MAX_KEY_LENGTH = 200
 WATCH_MARGIN_S = 0.7  # for the answer to arrive after the wait of a watch has ended
 
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
 
 class StoreError(Exception):
     """Base class of the errors of a call to the store."""
 
 
 class StoreUnavailableError(StoreError):
-    """The store did not answer in time, or answered with an error."""
+    """The store did not answer in time, or with something that is not an answer."""
 
 
 class HistoryGoneError(StoreError):
@@ -31,33 +41,31 @@
     Attributes
     ----------
     key : str
-    revision : int
-        Revision of the key's last change.
     value : str
         Content in standard base64; empty for a deletion.
     deleted : bool
         Whether the key was deleted.
     """
 
-    key: str
-    revision: int
+    key: Annotated[str, msgspec.Meta(max_length=MAX_KEY_LENGTH)]
     value: str = ""
     deleted: bool = False
 
 
+# Items are decoded one by one, so that a malformed one does not take the others along.
 class _Page(msgspec.Struct, rename="camel"):
-    items: list[Item]
+    items: list[msgspec.Raw]
     has_more: bool
-    current_rev: int
+    current_rev: Revision
 
 
 class _Events(msgspec.Struct, rename="camel"):
-    events: list[Item]
-    current_rev: int
+    events: list[msgspec.Raw]
+    current_rev: Revision
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Items below a prefix: all of them, or those that changed.
+    """Items below a prefix: one page of them, or those that changed.
 
     Attributes
     ----------
@@ -75,6 +83,7 @@
 
 _page_decoder = msgspec.json.Decoder(_Page)
 _events_decoder = msgspec.json.Decoder(_Events)
+_item_decoder = msgspec.json.Decoder(Item)
 
 
 class StoreClient:
@@ -102,35 +111,37 @@
         """Close the connection to the store."""
         self.http.close()
 
-    async def list(self, prefix: str) -> Listing:
-        """Return all items below a prefix.
+    async def list_pages(self, prefix: str) -> AsyncIterator[Listing]:
+        """Generate the pages of all items below a prefix.
 
-        The pages of an answer are not one consistent snapshot. The listing therefore
-        has the revision of its first page: a watch from there repeats the changes that
-        the later pages may lack.
+        The pages are not one consistent snapshot. They all have the revision of the
+        first one: a watch from there repeats the changes that the later pages may lack.
+        If the store is restored between two pages, the listing starts anew with a page
+        of the new epoch.
 
         Raises
         ------
         StoreUnavailableError
             If the store does not answer in time, or answers with an error.
         """
-        items: list[Item] = []
         revision = epoch = 0
         after = ""
-        while True:
+        has_more = True
+        while has_more:
             path = f"/api/kv-range?prefix={_quote(prefix)}"
             if after:
                 path += f"&after={_quote(after)}"
             page = await self._call(path, READ_TIMEOUT_S, _page_decoder)
             if after and self.epoch != epoch:
-                items, after = [], ""  # the store was restored between two pages
+                after = ""  # the store was restored between two pages
                 continue
             if not after:
                 revision, epoch = page.current_rev, self.epoch
-            items += page.items
-            if not page.has_more or not page.items:
-                return Listing(items, revision, epoch)
-            after = page.items[-1].key
+            items = _decode_items(page.items)
+            yield Listing(items, revision, epoch)
+            has_more = page.has_more and bool(page.items)
+            if has_more:
+                after = _get_next_key(items, after)
 
     async def watch(self, prefix: str, revision: int, wait_s: float) -> Listing:
         """Return the items that changed after a revision.
@@ -156,7 +167,8 @@
             f"&waitMs={round(wait_s * 1000)}"
         )
         events = await self._call(path, wait_s + WATCH_MARGIN_S, _events_decoder)
-        return Listing(events.events, events.current_rev, self.epoch)
+        items = _decode_items(events.events)
+        return Listing(items, events.current_rev, self.epoch)
 
     async def _call(self, path: str, timeout_s: float, decoder):
         self.calls += 1
@@ -168,16 +180,35 @@
         self._record_epoch(response)
         try:
             return decoder.decode(response.body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise StoreUnavailableError(f"malformed answer: {error}") from error
 
     def _record_epoch(self, response: Response) -> None:
         stated = response.headers.get(EPOCH_HEADER, "0")
-        if not stated.isdecimal():
+        if not EPOCH_PATTERN.fullmatch(stated):
             raise StoreUnavailableError(f"malformed epoch: {stated!r}")
         self.epoch = int(stated)
 
 
+def _decode_items(encoded: list[msgspec.Raw]) -> list[Item]:
+    """Return the well-formed items of an answer."""
+    items = []
+    for raw in encoded:
+        try:
+            items.append(_item_decoder.decode(raw))
+        except (msgspec.MsgspecError, RecursionError) as error:
+            log_event("item_unusable", error=str(error))
+    return items
+
+
+def _get_next_key(items: list[Item], after: str) -> str:
+    """Return the key after which the next page of a listing begins."""
+    last = max((item.key for item in items), default="")
+    if last <= after:
+        raise StoreUnavailableError("a page does not advance the listing")
+    return last
+
+
 def _quote(key: str) -> str:
     if not key:
         return ""
--- a/plantainyoke/platform/tests/test_reader.py
+++ b/plantainyoke/platform/tests/test_reader.py
@@ -4,7 +4,7 @@
 
 from plantainyoke.catalogue import Position
 from plantainyoke.conftest import make_scenario_runner
-from plantainyoke.platform import PlatformReader
+from plantainyoke.platform import PlatformReader, StoreUnavailableError
 from plantainyoke.standins import STORE_PORT, FakeStore
 
 START = Position(0, 0)
@@ -63,6 +63,82 @@
         run_scenario(scenario)
 
 
+class TestOddAnswers:
+    """Parts of an answer that no process could pass on."""
+
+    ODD_ITEMS = (
+        {"key": "op/evacuate/" + "z" * 400},
+        {"key": 7},
+        {"key": "op/evacuate/x", "value": 2**70},
+        {"value": ""},
+    )
+
+    # One such item made the whole answer count as no answer of the store.
+    @pytest.mark.parametrize("odd", ODD_ITEMS, ids=lambda odd: str(odd)[:30])
+    def test_malformed_item_of_a_listing_is_left_out(self, run_scenario, odd):
+        async def scenario(store):
+            store.put("op/evacuate/a", {})
+            store.items["op/evacuate/b"] = odd
+            store.put("op/evacuate/c", {})
+            update = await PlatformReader((store.ip, STORE_PORT)).read(START)
+            assert update.zones_out == {"a", "c"}
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("odd", ODD_ITEMS, ids=lambda odd: str(odd)[:30])
+    def test_malformed_item_of_a_watch_is_left_out(self, run_scenario, odd):
+        async def scenario(store):
+            reader = PlatformReader((store.ip, STORE_PORT))
+            known = (await reader.read(START)).position
+            store.put("op/evacuate/a", {})
+            store.changes.append({**odd, "revision": store.revision})
+            store.put("op/evacuate/c", {})
+            assert (await reader.read(known)).zones_out == {"a", "c"}
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("epoch", ["9" * 5000, "-1", "\u0663", "1e3", "9" * 19])
+    def test_epoch_out_of_range_is_an_error_of_the_store(self, run_scenario, epoch):
+        # Digits by the thousand raised another error, which ended the reading task.
+        async def scenario(store):
+            reader = PlatformReader((store.ip, STORE_PORT))
+            store.epoch = epoch
+            with pytest.raises(StoreUnavailableError):
+                await reader.read(START)
+            store.epoch = 2
+            assert (await reader.read(START)).epoch == 2
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize("revision", [2**63, 2**70, -1])
+    def test_revision_out_of_range_is_an_error_of_the_store(
+        self, run_scenario, revision
+    ):
+        # It was accepted and could not be sent to other processes.
+        async def scenario(store):
+            reader = PlatformReader((store.ip, STORE_PORT))
+            store.revision = revision
+            with pytest.raises(StoreUnavailableError):
+                await reader.read(START)
+
+        run_scenario(scenario)
+
+    def test_pages_that_repeat_end_the_listing(self, run_scenario):
+        # The listing would never end, and its items would fill the memory.
+        async def scenario(store):
+            reader = PlatformReader((store.ip, STORE_PORT))
+            store.page_size = 1
+            store.put("op/evacuate/a", {})
+            get = reader.store.http.get
+            reader.store.http.get = lambda path, **options: get(
+                path.partition("&after")[0], **options
+            )
+            with pytest.raises(StoreUnavailableError):
+                await reader.read(START)
+
+        run_scenario(scenario)
+
+
 class TestPositions:
     def test_only_what_was_written_after_the_position_is_read(self, run_scenario):
         async def scenario(store):
