Leave out the invalid parts of a configuration, not all of it

One route that cannot be read (a port with thousands of digits, a number too large, a field of another type) kept all routes of a version from being in force. A cold rate near the largest float was accepted and raised an OverflowError at the first flow of a cold target; an idle timeout that is not positive let every open flow count as idle.

Now a version that is not valid as a whole is read part by part; what cannot be used is logged (entry_unusable with place) and left out. Numbers are limited to 1e12. Limits without a usable idle timeout have the default. The check of a file before it is sent goes by the strict parser as before.

Tests: TestOddConfigurations in platform/tests/test_entries.py; they use the new function, so they cannot run on the code before.

--- a/plantainyoke/platform/_configuration.py
+++ b/plantainyoke/platform/_configuration.py
@@ -12,6 +12,9 @@
 # Processes send each other integers of 64 bits; a larger one could not be passed on.
 MIN_INTEGER, MAX_INTEGER = -(1 << 63), (1 << 63) - 1
 Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
+# Far above any useful value, and far enough below infinity to compute with.
+MAX_NUMBER = 1e12
+Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
 class PortError(ValueError):
@@ -33,8 +36,8 @@
     prefix: str  # "/port/"
     service: str | None = None
     traffic_split: list[ShareEntry] = []
-    aim_ms: float = 0.0
-    timeout_ms: float = 0.0
+    aim_ms: Number = 0.0
+    timeout_ms: Number = 0.0
     priority: Integer = 0
     type: str = ""
 
@@ -44,14 +47,14 @@
 
     name: str
     max_conns: Integer = 1 << 30
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    cold_start_s: Number = 0.0
+    cold_per_s: Number = 0.0
 
 
 class LimitsEntry(msgspec.Struct, rename="camel"):
     """Limits of all flows."""
 
-    idle_timeout_ms: float = 15_000.0
+    idle_timeout_ms: Number = 15_000.0
 
 
 class ConfigurationEntry(msgspec.Struct, rename="camel"):
--- a/plantainyoke/platform/_reader.py
+++ b/plantainyoke/platform/_reader.py
@@ -12,8 +12,8 @@
     ZONE_OUT_PREFIX,
     EntryError,
     decode_value,
-    parse_configuration,
     parse_target,
+    read_configuration,
 )
 from plantainyoke.platform._store import (
     HistoryGoneError,
@@ -122,7 +122,12 @@
         (update.zones_restored if item.deleted else update.zones_out).add(zone)
         (update.zones_out if item.deleted else update.zones_restored).discard(zone)
     elif key == CONFIGURATION_KEY and not item.deleted:
-        update.configuration = parse_configuration(decode_value(item.value))
+        update.configuration = read_configuration(
+            decode_value(item.value),
+            lambda place, error: log_event(
+                "entry_unusable", key=key, place=place, error=error
+            ),
+        )
 
 
 def _apply_target(name: str, item: Item, update: StoreUpdate) -> None:
--- a/plantainyoke/platform/tests/test_entries.py
+++ b/plantainyoke/platform/tests/test_entries.py
@@ -13,6 +13,7 @@
     decode_value,
     parse_configuration,
     parse_target,
+    read_configuration,
 )
 
 TARGET = {
@@ -201,3 +202,56 @@
         document["routes"][0]["prefix"] = prefix
         with pytest.raises(EntryError):
             parse_configuration(json.dumps(document).encode())
+
+
+class TestOddConfigurations:
+    # One invalid part of a version kept all of it from being in force.
+    def _read(self, **changes):
+        reports = []
+        configuration = read_configuration(
+            json.dumps({**CONFIGURATION, **changes}).encode(),
+            lambda place, error: reports.append(place),
+        )
+        return configuration, reports
+
+    def test_valid_configuration_is_complete(self):
+        configuration, reports = self._read()
+        assert configuration == parse_configuration(json.dumps(CONFIGURATION).encode())
+        assert not reports
+
+    @pytest.mark.parametrize(
+        "route",
+        [
+            7,
+            {"name": "r-9"},
+            {"name": "r-9", "hostname": "198.18.0.9", "prefix": "/" + "9" * 5000},
+            {"name": "r-9", "hostname": "nowhere", "prefix": "/80/"},
+            {"name": "r-9", "hostname": "198.18.0.9", "prefix": "/80/", "aimMs": 1e300},
+            {"name": "r-9", "hostname": "x", "prefix": "/80/", "priority": 2**64},
+        ],
+        ids=lambda route: str(route)[:60],
+    )
+    def test_invalid_route_is_left_out(self, route):
+        configuration, reports = self._read(routes=[*CONFIGURATION["routes"], route])
+        assert [one.name for one in configuration.routes] == ["r-1", "r-2"]
+        assert configuration.idle_timeout_s == 12.0
+        assert reports == ["routes[2]"]
+
+    def test_invalid_service_is_left_out(self):
+        odd = {"name": "y", "coldPerS": 1e300}
+        configuration, reports = self._read(services=[odd, *CONFIGURATION["services"]])
+        assert list(configuration.services) == ["huvo11a"]
+        assert reports == ["services[0]"]
+
+    @pytest.mark.parametrize("timeout", [0, -5, 1e300, "soon", None, 2**70])
+    def test_invalid_idle_timeout_is_replaced_by_the_default(self, timeout):
+        # With a timeout that is not positive, all open flows count as idle.
+        configuration, reports = self._read(limits={"idleTimeoutMs": timeout})
+        assert configuration.idle_timeout_s == 15.0
+        assert len(configuration.routes) == 2
+        assert len(reports) == 1
+
+    @pytest.mark.parametrize("version", [2**64, -(2**64), "7", None, 1.5])
+    def test_configuration_without_a_version_is_rejected(self, version):
+        with pytest.raises(EntryError):
+            self._read(version=version)
