Bound what other processes and settings files state

The ranges are part of the types that are decoded, so that they are checked once, where a frame or a file enters.

--- a/plantainyoke/catalogue/_subscription.py
+++ b/plantainyoke/catalogue/_subscription.py
@@ -24,6 +24,7 @@
 MAX_SUBSCRIBERS = 128  # eight times the fanout of the tree of sources
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 64 * 1024 * 1024  # a snapshot of 55,000 targets takes 10 MB
+MAX_REQUEST_BYTES = 1024  # of a subscriber's first frame
 MAX_UNSENT_BYTES = 2 * MAX_FRAME_BYTES  # a subscriber with more is disconnected
 
 
@@ -81,9 +82,9 @@
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
-async def _read_body(reader: asyncio.StreamReader) -> bytes:
+async def _read_body(reader: asyncio.StreamReader, max_bytes: int) -> bytes:
     size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
-    if size > MAX_FRAME_BYTES:
+    if size > max_bytes:
         raise LinkError(f"frame of {size} bytes exceeds the size limit")
     return await reader.readexactly(size)
 
@@ -97,7 +98,7 @@
         If the link closed or the frame is malformed or too large.
     """
     try:
-        return _frame_decoder.decode(await _read_body(reader))
+        return _frame_decoder.decode(await _read_body(reader, MAX_FRAME_BYTES))
     except (msgspec.MsgspecError, OSError, asyncio.IncompleteReadError) as error:
         raise LinkError(type(error).__name__) from error
 
@@ -183,7 +184,8 @@
     ) -> None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                request = _subscribe_decoder.decode(await _read_body(reader))
+                body = await _read_body(reader, MAX_REQUEST_BYTES)
+                request = _subscribe_decoder.decode(body)
             if len(self.subscribers) >= MAX_SUBSCRIBERS:
                 # When all processes start at once, they know the same seeds. A process
                 # that is refused tries its next source.
--- a/plantainyoke/catalogue/_types.py
+++ b/plantainyoke/catalogue/_types.py
@@ -4,10 +4,17 @@
 Processes send these types to each other with their field names.
 """
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
+# Ranges of what other processes send, checked when it is decoded. Hosts are packed into
+# 32 bits, revisions into 64.
+Host = Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]
+Revision = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Timeout = Annotated[float, msgspec.Meta(gt=0, le=1e12)]
+
 
 class Position(NamedTuple):
     """Point in the history of the store; a higher one has newer contents.
@@ -101,7 +108,7 @@
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: dict[str, ServiceLimits] = msgspec.field(default_factory=dict)
-    idle_timeout_s: float = 15.0
+    idle_timeout_s: Timeout = 15.0
 
 
 class Target(msgspec.Struct, frozen=True):
@@ -127,10 +134,10 @@
 
     name: str
     service: str
-    host: int
+    host: Host
     port: int
     zone: str
-    slots: int
+    slots: Count
     draining: bool = False
     cold: bool = False
     born_ms: int = 0
@@ -186,15 +193,15 @@
         written after ``since``, and also apply at a revision between the two.
     """
 
-    since: int
-    revision: int
+    since: Revision
+    revision: Revision
     configuration: RouteConfiguration | None = None
     version_since: int = 0
     removed_routes: tuple[tuple[int, int], ...] = ()
     targets: tuple[Target, ...] = ()
     removed: tuple[str, ...] = ()
     zones_out: tuple[str, ...] | None = None
-    epoch: int = 0
+    epoch: Revision = 0
     unconfirmed: Unconfirmed | None = None
     is_exact: bool = False
 
--- a/plantainyoke/catalogue/tests/test_links.py
+++ b/plantainyoke/catalogue/tests/test_links.py
@@ -1,5 +1,7 @@
 import asyncio
+import contextlib
 
+import msgspec
 import pytest
 
 from plantainyoke.catalogue import (
@@ -11,14 +13,20 @@
 )
 from plantainyoke.catalogue._subscription import (
     MAX_RECENT_CHANGES,
+    CatalogueFrame,
     CatalogueServer,
     LinkError,
     Subscribe,
+    encode_catalogue_frame,
     open_subscription,
     read_frame,
 )
 from plantainyoke.catalogue._types import Position
-from plantainyoke.conftest import make_scenario_runner, wait_until
+from plantainyoke.conftest import (
+    make_scenario_runner,
+    run_in_virtual_time,
+    wait_until,
+)
 from plantainyoke.telemetry import Metrics
 
 PORT = 9_500
@@ -191,3 +199,51 @@
             writer.close()
 
         run_scenario(scenario)
+
+
+class TestHostileFrames:
+    @pytest.mark.parametrize(
+        "changes",
+        [{"host": 1 << 32}, {"host": -1}, {"slots": 0}],
+        ids=["large host", "negative host", "no slots"],
+    )
+    def test_target_out_of_range_is_refused(self, changes):
+        # A host beyond 32 bits ended the task that subscribes; without a slot, every
+        # comparison of loads divides by zero.
+        target = Target("t1", "orders", 1, 1, "a", 4)
+        odd = msgspec.structs.replace(target, **changes)
+
+        async def main():
+            reader = asyncio.StreamReader()
+            change = CatalogueChange(0, 1, targets=(odd,))
+            reader.feed_data(encode_catalogue_frame(CatalogueFrame(0, change)))
+            with pytest.raises(LinkError):
+                await read_frame(reader)
+
+        run_in_virtual_time(main())
+
+    @pytest.mark.parametrize("timeout_s", [float("nan"), float("inf"), 0.0, -1.0])
+    def test_idle_timeout_out_of_range_is_refused(self, timeout_s):
+        # Every open flow would count as idle, or none ever.
+        async def main():
+            reader = asyncio.StreamReader()
+            configuration = RouteConfiguration(1, idle_timeout_s=timeout_s)
+            change = CatalogueChange(0, 1, configuration)
+            reader.feed_data(encode_catalogue_frame(CatalogueFrame(0, change)))
+            with pytest.raises(LinkError):
+                await read_frame(reader)
+
+        run_in_virtual_time(main())
+
+    def test_large_request_of_a_subscriber_is_refused_before_it_is_read(
+        self, run_scenario
+    ):
+        # Requests of up to 64 MB were kept in memory.
+        async def scenario(source):
+            reader, writer = await asyncio.open_connection(*source.address)
+            writer.write((64 * 1024 * 1024).to_bytes(4, "big") + b"x" * 4096)
+            async with asyncio.timeout(0.2):
+                with contextlib.suppress(ConnectionError):
+                    assert await reader.read() == b""
+
+        run_scenario(scenario)
--- a/plantainyoke/flows/_messages.py
+++ b/plantainyoke/flows/_messages.py
@@ -242,7 +242,7 @@
         min(load.in_flight, 0xFFFF),
         min(load.slots, 0xFFFF),
         load.refusal,
-        load.work_time_us,
+        min(load.work_time_us, 0xFFFFFFFF),
     )
 
 
--- a/plantainyoke/flows/tests/test_messages.py
+++ b/plantainyoke/flows/tests/test_messages.py
@@ -63,6 +63,13 @@
         assert flow == b"f" * 12
         assert decoded == Load(0xFFFF, 5, 4, FlowRefusal.BUSY, 46_000)
 
+    def test_work_time_of_hours_is_capped(self):
+        # The first answer to a request that waited for 72 minutes made every load
+        # report of the agent fail.
+        load = Load(1, 1, 4, FlowRefusal.NONE, 2**32)
+        _, decoded = decode_load_body(encode_load_body(b"", load))
+        assert decoded.work_time_us == 2**32 - 1
+
     def test_unknown_refusal_is_malformed(self):
         with pytest.raises(MalformedMessageError):
             decode_refusal(250)
--- a/plantainyoke/platform/_settings.py
+++ b/plantainyoke/platform/_settings.py
@@ -6,12 +6,17 @@
 
 import os
 import tomllib
+from typing import Annotated
 
 import msgspec
 
 from plantainyoke.network import parse_address, parse_host
 from plantainyoke.packet_node import FeatureSettings, ProcessSettings
 
+# Settings are TOML, which has infinity and NaN, neither of which can be computed with.
+MAX_LIMIT = 1e9
+Limit = Annotated[float, msgspec.Meta(ge=0, le=MAX_LIMIT)]
+
 
 class SettingsError(Exception):
     """The settings file is missing, unreadable or invalid."""
@@ -36,10 +41,10 @@
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
-    grace_s: float = 6.0
-    cold_overshoot: float = 1.5
-    cold_slack: float = 5.0
-    config_apply_ms: float = 6000.0
+    grace_s: Limit = 6.0
+    cold_overshoot: Limit = 1.5
+    cold_slack: Limit = 5.0
+    config_apply_ms: Limit = 6000.0
 
 
 class _Store(msgspec.Struct, rename="camel"):
@@ -55,7 +60,7 @@
     platform: _Store
     seeds: list[str] = []
     bootstrap: bool = False
-    heartbeat_ms: float = 1000.0
+    heartbeat_ms: Limit = 1000.0
     app: str | None = None  # address of an agent's target
     service: str | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
--- a/plantainyoke/platform/tests/test_settings.py
+++ b/plantainyoke/platform/tests/test_settings.py
@@ -80,3 +80,15 @@
     def test_missing_file_is_rejected(self, tmp_path):
         with pytest.raises(SettingsError):
             load_process_settings(tmp_path / "none.toml")
+
+    @pytest.mark.parametrize("number", ["inf", "-inf", "nan", "-1", "1e300", "9" * 400])
+    @pytest.mark.parametrize(
+        "setting", ["heartbeatMs = 1200", "coldSlack = 5", "graceS = 6"]
+    )
+    def test_number_that_cannot_be_computed_with_is_rejected(
+        self, tmp_path, setting, number
+    ):
+        # An infinite limit raised an error at the first flow of a cold target.
+        name = setting.partition(" ")[0]
+        with pytest.raises(SettingsError):
+            _load(tmp_path, TEXT.replace(setting, f"{name} = {number}"))
