Bound the silence of a peer, not the time of a transfer

Cause: a call to the store was given up 1.5 s after it began, whether or not its answer was arriving, and the next one began anew. The answer takes 1.9 s. Evidence: store_failed said only TimeoutError, which fits a silent store, too. The message has the bytes now.

Now the deadline moves with each part that arrives.

Tests that fail before: a response and a frame that arrive slowly but steadily (network/tests/test_http.py, catalogue/tests/test_links.py), a configuration of 1 MB over 5 Mbit/s (platform/tests/test_reader.py).

--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -15,7 +15,7 @@
 from plantainyoke.catalogue._change_builder import ChangeBuilder, StoreUpdate
 from plantainyoke.catalogue._ranking import plan_sources
 from plantainyoke.catalogue._subscription import (
-    HEARTBEAT_INTERVAL_S,
+    SOURCE_TIMEOUT_S,
     CatalogueServer,
     LinkError,
     Subscribe,
@@ -24,7 +24,7 @@
 )
 from plantainyoke.catalogue._types import CatalogueChange, Position
 from plantainyoke.hashing import rank_by_rendezvous
-from plantainyoke.network import Address, format_host
+from plantainyoke.network import Address, TransferDeadline, format_host
 from plantainyoke.telemetry import Metrics, log_event
 
 MIN_READ_INTERVAL_S = 0.15  # changes in quick succession share a call
@@ -32,7 +32,6 @@
 # watch on the store, because a watch confirms the view only when it returns.
 STALE_S = 3.0
 FAILED_AGE_S = 1e6  # reported while this process neither reads nor follows a source
-SOURCE_TIMEOUT_S = 3 * HEARTBEAT_INTERVAL_S
 RANK_DELAY_STEP_S = 0.25  # added for each rank before a process reads the store
 MAX_DELAY_RANK = 6
 MAX_UNRANKED_SOURCES = 4  # tried regardless of rank while the store fails
@@ -70,6 +69,8 @@
     metrics : Metrics
     jitter : callable
         Returns a random factor around 1 for the backoff between calls to the store.
+    is_receiving : callable, optional
+        Returns whether an answer of the store is arriving. By default it never is.
 
     Attributes
     ----------
@@ -106,6 +107,7 @@
         seeds: tuple[int, ...],
         metrics: Metrics,
         jitter: Callable[[], float],
+        is_receiving: Callable[[], bool] = lambda: False,
     ) -> None:
         self.host = host
         self.zone = zone
@@ -116,6 +118,7 @@
         self.seeds = seeds
         self.metrics = metrics
         self.jitter = jitter
+        self.is_receiving = is_receiving
         self.change_builder = ChangeBuilder(catalogue)
         self.server = CatalogueServer(catalogue, self.reported_age_s, metrics)
         self.is_failing = False
@@ -342,22 +345,28 @@
 
         Load pattern: after a power loss all processes start at once and know only the
         seeds, whose links would carry a snapshot for each of them. So a process first
-        waits up to `FIRST_READ_TIMEOUT_S` for its first call to the store: if the call
-        succeeds, it needs no snapshot from a seed.
+        waits up to `FIRST_READ_TIMEOUT_S` for its first call to the store, or as long
+        as an answer arrives: if the call succeeds, it needs no snapshot from a seed.
         """
-        with suppress(TimeoutError):
-            async with asyncio.timeout(FIRST_READ_TIMEOUT_S):
-                await self.first_read_done.wait()
+        await self._wait_for_first_read()
         while True:
             sources = self._list_sources()
             for rank, host in enumerate(sources):
-                max_duration_s = PREFERRED_RETRY_S if rank else None
+                max_duration_s = PREFERRED_RETRY_S if rank else float("inf")
                 await self._follow_source(host, sources, max_duration_s=max_duration_s)
                 if self._list_sources() != sources:
                     break
             else:
                 await asyncio.sleep(SUBSCRIBE_RETRY_S)
 
+    async def _wait_for_first_read(self) -> None:
+        while not self.first_read_done.is_set():
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_READ_TIMEOUT_S):
+                    await self.first_read_done.wait()
+            if not self.is_receiving():
+                return
+
     def _list_sources(self) -> list[int]:
         """Return the hosts to subscribe to, the preferred one first.
 
@@ -376,9 +385,12 @@
         return list(dict.fromkeys([*sources, *others]))
 
     async def _follow_source(
-        self, host: int, sources: list[int], *, max_duration_s: float | None
+        self, host: int, sources: list[int], *, max_duration_s: float
     ) -> None:
-        """Apply changes from a source until it fails or another is to be used."""
+        """Apply changes from a source until it fails or another is to be used.
+
+        The maximum duration cuts off no frame that is arriving.
+        """
         try:
             reader, writer = await open_subscription(
                 self.get_address(host),
@@ -388,12 +400,9 @@
             self.metrics.counters["source.unreachable"] += 1
             log_event("source_unreachable", source=format_host(host), error=str(error))
             return
-        reason = "limit"
+        leave_at = self.loop.time() + max_duration_s
         try:
-            async with asyncio.timeout(max_duration_s):
-                reason = await self._receive_frames(reader, host, sources)
-        except TimeoutError:
-            pass
+            reason = await self._receive_frames(reader, host, sources, leave_at)
         finally:
             writer.transport.abort()
             if self.source:
@@ -415,15 +424,20 @@
         )
 
     async def _receive_frames(
-        self, reader: asyncio.StreamReader, host: int, sources: list[int]
+        self,
+        reader: asyncio.StreamReader,
+        host: int,
+        sources: list[int],
+        leave_at: float,
     ) -> str:
         """Apply a source's frames; return the reason for leaving the source."""
         while True:
+            arrival = TransferDeadline(SOURCE_TIMEOUT_S, self.loop.time())
             try:
-                async with asyncio.timeout(SOURCE_TIMEOUT_S):
-                    frame = await read_frame(reader)
+                frame = await read_frame(reader, arrival)
             except TimeoutError:
-                return "silent"
+                received = arrival.received
+                return f"stalled after {received} bytes" if received else "silent"
             except LinkError as error:
                 return str(error)
             is_first, self.has_asked_process = not self.has_asked_process, True
@@ -441,12 +455,15 @@
             if self.source != host:
                 log_event("source_found", source=format_host(host), age_ms=frame.age_ms)
                 self.source = host
-            confirmed_at = self.loop.time() - frame.age_ms / 1000
+            # A large frame takes some time to arrive, by which its age is out of date.
+            confirmed_at = arrival.started_at - frame.age_ms / 1000
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
             if frame.change is not None and self._list_sources()[:1] != sources[:1]:
                 return "ranking_changed"
             if self.age_s() > STALE_S:
                 return "stale"
+            if self.loop.time() >= leave_at:
+                return "limit"
 
     def _get_rounded_age_s(self) -> float | None:
         age_s = self.age_s()
--- a/plantainyoke/catalogue/_subscription.py
+++ b/plantainyoke/catalogue/_subscription.py
@@ -13,10 +13,16 @@
 
 from plantainyoke.catalogue._catalogue import Catalogue
 from plantainyoke.catalogue._types import CatalogueChange, Position
-from plantainyoke.network import Address, serve_connections
+from plantainyoke.network import (
+    Address,
+    TransferDeadline,
+    read_exactly,
+    serve_connections,
+)
 from plantainyoke.telemetry import Metrics, log_event
 
 HEARTBEAT_INTERVAL_S = 0.5
+SOURCE_TIMEOUT_S = 3 * HEARTBEAT_INTERVAL_S  # longest silence of a source
 CONNECT_TIMEOUT_S = 0.4  # round trips across zones take some 10 ms
 # Half a minute of changes during a release. A subscriber that lacks more receives a
 # snapshot.
@@ -82,27 +88,48 @@
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
-async def _read_body(reader: asyncio.StreamReader, max_bytes: int) -> bytes:
-    size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
-    if size > max_bytes:
-        raise LinkError(f"frame of {size} bytes exceeds the size limit")
-    return await reader.readexactly(size)
-
-
-async def read_frame(reader: asyncio.StreamReader) -> CatalogueFrame:
+async def read_frame(
+    reader: asyncio.StreamReader, deadline: TransferDeadline | None = None
+) -> CatalogueFrame:
     """Return the next frame of a source.
 
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+    deadline : TransferDeadline, optional
+        Records when the frame began to arrive. By default a new one that allows a
+        silence of `SOURCE_TIMEOUT_S`.
+
     Raises
     ------
+    TimeoutError
+        If the source is silent or too slow.
     LinkError
         If the link closed or the frame is malformed or too large.
     """
+    if deadline is None:
+        now = asyncio.get_running_loop().time()
+        deadline = TransferDeadline(SOURCE_TIMEOUT_S, now)
     try:
-        return _frame_decoder.decode(await _read_body(reader, MAX_FRAME_BYTES))
+        return _frame_decoder.decode(
+            await _read_body(reader, MAX_FRAME_BYTES, deadline)
+        )
+    except TimeoutError:
+        raise
     except (msgspec.MsgspecError, OSError, asyncio.IncompleteReadError) as error:
         raise LinkError(type(error).__name__) from error
 
 
+async def _read_body(
+    reader: asyncio.StreamReader, max_bytes: int, deadline: TransferDeadline
+) -> bytes:
+    length = await read_exactly(reader, LENGTH_BYTES, deadline)
+    size = int.from_bytes(length, "big")
+    if size > max_bytes:
+        raise LinkError(f"frame of {size} bytes exceeds the size limit")
+    return await read_exactly(reader, size, deadline)
+
+
 async def open_subscription(
     address: Address, request: Subscribe
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -183,9 +210,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                body = await _read_body(reader, MAX_REQUEST_BYTES)
-                request = _subscribe_decoder.decode(body)
+            now = asyncio.get_running_loop().time()
+            deadline = TransferDeadline(CONNECT_TIMEOUT_S, now)
+            body = await _read_body(reader, MAX_REQUEST_BYTES, deadline)
+            request = _subscribe_decoder.decode(body)
             if len(self.subscribers) >= MAX_SUBSCRIBERS:
                 # When all processes start at once, they know the same seeds. A process
                 # that is refused tries its next source.
--- a/plantainyoke/catalogue/tests/test_follower.py
+++ b/plantainyoke/catalogue/tests/test_follower.py
@@ -37,6 +37,7 @@
         self.changed = asyncio.Event()
         self.calls: dict[int, int] = {}
         self.refused: set[int] = set()
+        self.answering: set[int] = set()  # readers that receive an answer
         self.unusable: set[int] = set()  # readers that get what they cannot handle
         self.delay_s = 0.0
 
@@ -60,7 +61,9 @@
             self.calls[host] = self.calls.get(host, 0) + 1
             if host in self.refused:
                 raise StoreDownError
+            self.answering.add(host)
             await asyncio.sleep(self.delay_s)
+            self.answering.discard(host)
             if after == (self.epoch, self.revision):
                 try:
                     async with asyncio.timeout(WATCH_S):
@@ -118,6 +121,7 @@
             seeds=tuple(self.hosts[:3]),
             metrics=Metrics(),
             jitter=lambda: 1.0 + (host % 7 - 3) / 10,
+            is_receiving=lambda: host in self.store.answering,
         )
         await follower.server.listen((format_host(host), PORT), self.stack)
         tasks = TaskSet(follower.metrics)
@@ -166,6 +170,24 @@
 
         run_fleet(12, scenario)
 
+    def test_seeds_are_not_asked_while_the_answer_of_the_store_arrives(self, run_fleet):
+        # Over a slow link a large configuration takes longer than the usual answer. The
+        # first seed that had it sent a snapshot to every other process, over its own
+        # slow link.
+        async def scenario(fleet):
+            await fleet.start(*fleet.hosts[:3])
+            fleet.store.delay_s = 1.0
+            starting = [
+                asyncio.ensure_future(fleet.start(host, targets=False))
+                for host in fleet.hosts[3:]
+            ]
+            await asyncio.sleep(0.8)
+            for host in fleet.hosts[3:]:
+                assert not fleet.followers[host].catalogue.revision
+            await asyncio.gather(*starting)
+
+        run_fleet(6, scenario)
+
 
 class TestReaders:
     def test_only_one_process_of_a_zone_reads_the_store(self, run_fleet):
--- a/plantainyoke/catalogue/tests/test_links.py
+++ b/plantainyoke/catalogue/tests/test_links.py
@@ -13,6 +13,7 @@
 )
 from plantainyoke.catalogue._subscription import (
     MAX_RECENT_CHANGES,
+    SOURCE_TIMEOUT_S,
     CatalogueFrame,
     CatalogueServer,
     LinkError,
@@ -201,6 +202,52 @@
         run_scenario(scenario)
 
 
+class TestSlowLinks:
+    """Timeouts bound silence, not the time of a frame (review/1)."""
+
+    FRAME = encode_catalogue_frame(
+        CatalogueFrame(0, CatalogueChange(0, 1, removed=("t" * 200,) * 5000))
+    )
+
+    def _read(self, part_bytes, interval_s, *, size=2_000_000):
+        """Return the frame that arrives in parts, and the time that it took."""
+
+        async def main():
+            loop = asyncio.get_running_loop()
+            reader = asyncio.StreamReader()
+
+            async def feed():
+                for start in range(0, size, part_bytes):
+                    reader.feed_data(self.FRAME[start : start + part_bytes])
+                    await asyncio.sleep(interval_s)
+
+            feeding = loop.create_task(feed())
+            try:
+                return await read_frame(reader), loop.time()
+            except TimeoutError as error:
+                return error, loop.time()
+            finally:
+                feeding.cancel()
+
+        return run_in_virtual_time(main())
+
+    def test_large_frame_over_a_slow_link_is_received(self):
+        # Subscribers took the source for silent in the middle of each snapshot.
+        frame, elapsed_s = self._read(62_500, 0.2)  # half of 5 Mbit/s
+        assert frame.change is not None
+        assert elapsed_s > 2 * SOURCE_TIMEOUT_S
+
+    def test_source_that_stalls_is_given_up_after_the_timeout(self):
+        error, elapsed_s = self._read(62_500, 0.1, size=500_000)
+        assert isinstance(error, TimeoutError)
+        assert elapsed_s <= 0.8 + SOURCE_TIMEOUT_S
+
+    def test_source_that_trickles_is_given_up_soon(self):
+        error, elapsed_s = self._read(100, 0.1)
+        assert isinstance(error, TimeoutError)
+        assert elapsed_s < 2 * SOURCE_TIMEOUT_S
+
+
 class TestHostileFrames:
     @pytest.mark.parametrize(
         "changes",
--- a/plantainyoke/network/__init__.py
+++ b/plantainyoke/network/__init__.py
@@ -13,22 +13,33 @@
 )
 from plantainyoke.network._connections import serve_connections
 from plantainyoke.network._datagrams import DatagramSocket
-from plantainyoke.network._http import HttpClient, HttpError, HttpServer, Response
+from plantainyoke.network._http import (
+    BodyTooLargeError,
+    HttpClient,
+    HttpError,
+    HttpServer,
+    Response,
+)
+from plantainyoke.network._transfer import TransferDeadline, read_exactly, read_part
 
 __all__ = [
     "Address",
     "AddressError",
+    "BodyTooLargeError",
     "DatagramSocket",
     "HttpClient",
     "HttpError",
     "HttpServer",
     "Response",
+    "TransferDeadline",
     "format_packed_address",
     "format_address",
     "parse_host",
     "format_host",
     "pack_address",
     "parse_address",
+    "read_exactly",
+    "read_part",
     "serve_connections",
     "unpack_address",
 ]
--- a/plantainyoke/network/_http.py
+++ b/plantainyoke/network/_http.py
@@ -13,10 +13,11 @@
 
 from plantainyoke.network._address import Address, format_address
 from plantainyoke.network._connections import serve_connections
+from plantainyoke.network._transfer import READ_BYTES, TransferDeadline, read_part
 from plantainyoke.telemetry import Metrics, log_event
 
-READ_BYTES = 65_536
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_HEAD_BYTES = 65_536
 MAX_REQUEST_BYTES = 16_384
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 503: "Service Unavailable"}
 
@@ -25,6 +26,14 @@
     """The request failed before a complete response arrived."""
 
 
+class BodyTooLargeError(HttpError):
+    """The body of the response exceeds `MAX_BODY_BYTES`."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__(f"body of {size} bytes exceeds the limit of {MAX_BODY_BYTES}")
+        self.size = size
+
+
 class Response(msgspec.Struct):
     """An HTTP response.
 
@@ -49,20 +58,51 @@
         self.headers: dict[str, str] = {}
         self.chunks: list[bytes] = []
         self.size = 0
+        self.received = 0
+        self.error: HttpError | None = None
+        self.has_head = False
         self.is_complete = False
 
+    def feed(self, data: bytes) -> None:
+        """Parse a part of the response.
+
+        Raises
+        ------
+        HttpError
+            If the response is malformed or too large.
+        """
+        self.received += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            raise self.error or HttpError(type(error).__name__) from error
+        if not self.has_head and self.received > MAX_HEAD_BYTES:
+            raise HttpError(f"head exceeds the limit of {MAX_HEAD_BYTES} bytes")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        self.has_head = True
+        # The parser has checked that it is a number of 64 bits.
+        stated = int(self.headers.get("content-length", "0"))
+        if stated > MAX_BODY_BYTES:
+            self._fail(BodyTooLargeError(stated))
+
     def on_body(self, chunk: bytes) -> None:
         self.size += len(chunk)
         if self.size > MAX_BODY_BYTES:
-            raise HttpError(f"body exceeds the limit of {MAX_BODY_BYTES} bytes")
+            self._fail(BodyTooLargeError(self.size))
         self.chunks.append(chunk)
 
+    def _fail(self, error: HttpError) -> None:
+        """Keep an error, in the place of which the parser raises one of its own."""
+        self.error = error
+        raise error
+
     def on_message_begin(self) -> None:
         if self.is_complete:
-            raise HttpError("a second response follows the first")
+            self._fail(HttpError("a second response follows the first"))
 
     def on_message_complete(self) -> None:
         self.is_complete = True
@@ -87,20 +127,43 @@
     def __init__(self, address: Address) -> None:
         self.address = address
         self.writer: asyncio.StreamWriter | None = None
+        self.deadline: TransferDeadline | None = None
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a response has arrived, and the rest is expected."""
+        return self.deadline is not None and self.deadline.started_at is not None
 
-    async def get(self, path: str, *, timeout_s: float) -> Response:
+    async def get(
+        self, path: str, *, timeout_s: float, silence_s: float | None = None
+    ) -> Response:
         """Return the response to a GET request.
 
+        Parameters
+        ----------
+        path : str
+        timeout_s : float
+            Time to wait for the first part of the response.
+        silence_s : float, optional
+            Time to wait for each further part, `timeout_s` by default.
+
         Raises
         ------
+        BodyTooLargeError
+            If the body exceeds `MAX_BODY_BYTES`.
         HttpError
             If no complete response arrives in time.
         """
+        now = asyncio.get_running_loop().time()
+        deadline = self.deadline = TransferDeadline(
+            silence_s or timeout_s, now, first_part_s=timeout_s
+        )
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._exchange(path)
-        except (OSError, TimeoutError, httptools.HttpParserError) as error:
-            raise HttpError(type(error).__name__) from error
+            return await self._exchange(path, deadline)
+        except (OSError, TimeoutError) as error:
+            raise HttpError(
+                f"{type(error).__name__} after {deadline.received} bytes"
+            ) from error
         finally:
             self.close()
 
@@ -108,19 +171,20 @@
         """Abort the request in progress."""
         if self.writer is not None:
             self.writer.transport.abort()
-        self.writer = None
+        self.writer = self.deadline = None
 
-    async def _exchange(self, path: str) -> Response:
-        reader, self.writer = await asyncio.open_connection(*self.address)
+    async def _exchange(self, path: str, deadline: TransferDeadline) -> Response:
+        async with asyncio.timeout_at(deadline.at):
+            reader, self.writer = await asyncio.open_connection(*self.address)
         host = format_address(self.address)
         request = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n"
         self.writer.write(request.encode("ascii"))
         response = _ResponseReader()
         while not response.is_complete:
-            data = await reader.read(READ_BYTES)
+            data = await read_part(reader, READ_BYTES, deadline)
             if not data:
                 raise HttpError("connection closed before the response was complete")
-            response.parser.feed_data(data)
+            response.feed(data)
         return response.result()
 
 
--- a/plantainyoke/network/tests/test_http.py
+++ b/plantainyoke/network/tests/test_http.py
@@ -1,9 +1,16 @@
 import asyncio
+import time
 from contextlib import AsyncExitStack, suppress
 
 import pytest
 
-from plantainyoke.network import HttpClient, HttpError, HttpServer, Response
+from plantainyoke.network import (
+    BodyTooLargeError,
+    HttpClient,
+    HttpError,
+    HttpServer,
+    Response,
+)
 from plantainyoke.telemetry import Metrics
 
 PORT = 18_900
@@ -120,6 +127,99 @@
         run_async(scenario())
 
 
+class TestSlowResponses:
+    """The timeout bounds the silence of a server, not the time of a response."""
+
+    TIMEOUT_S = 0.2
+
+    def _receive(self, run_async, network_prefix, parts, *, stated=None):
+        """Return what a client gets from a server that sends parts with pauses.
+
+        Returns
+        -------
+        body : bytes or HttpError
+        elapsed_s : float
+        """
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            size = sum(len(part) for _, part in parts) if stated is None else stated
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            with suppress(OSError):
+                for pause_s, part in parts:
+                    await asyncio.sleep(pause_s)
+                    writer.write(part)
+                await asyncio.sleep(5)
+
+        async def scenario():
+            address = f"{network_prefix}.0.7", PORT
+            server = await asyncio.start_server(serve, *address)
+            started = time.monotonic()
+            try:
+                response = await HttpClient(address).get("/", timeout_s=self.TIMEOUT_S)
+                return response.body, time.monotonic() - started
+            except HttpError as error:
+                return error, time.monotonic() - started
+            finally:
+                server.close()
+
+        return run_async(scenario())
+
+    def test_large_response_over_a_slow_link_is_received(
+        self, run_async, network_prefix
+    ):
+        # The call ended in the middle of the response, and so did each repetition
+        # (review/1).
+        parts = [(0.05, b"x" * 20_000)] * 12
+        body, elapsed_s = self._receive(run_async, network_prefix, parts)
+        assert body == b"x" * 240_000
+        assert elapsed_s > 2 * self.TIMEOUT_S
+
+    def test_server_that_stalls_is_given_up_after_the_timeout(
+        self, run_async, network_prefix
+    ):
+        parts = [(0.0, b"x" * 50_000)]
+        error, elapsed_s = self._receive(
+            run_async, network_prefix, parts, stated=100_000
+        )
+        assert isinstance(error, HttpError)
+        assert elapsed_s < 2 * self.TIMEOUT_S
+
+    def test_server_that_trickles_is_given_up_soon(self, run_async, network_prefix):
+        parts = [(0.05, b"x")] * 90
+        error, elapsed_s = self._receive(
+            run_async, network_prefix, parts, stated=100_000
+        )
+        assert isinstance(error, HttpError)
+        assert "bytes" in str(error)
+        assert elapsed_s < 2 * self.TIMEOUT_S
+
+    def test_body_beyond_the_limit_is_refused_before_it_arrives(
+        self, run_async, network_prefix
+    ):
+        error, elapsed_s = self._receive(run_async, network_prefix, [], stated=10**8)
+        assert isinstance(error, BodyTooLargeError)
+        assert elapsed_s < self.TIMEOUT_S
+
+    def test_head_without_an_end_is_refused(self, run_async, network_prefix):
+        # It would fill the memory until the timeout.
+        async def serve(reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\n")
+            with suppress(OSError):
+                while True:
+                    writer.write(b"X-Filler: " + b"x" * 10_000 + b"\r\n")
+                    await writer.drain()
+
+        async def scenario():
+            address = f"{network_prefix}.0.8", PORT
+            server = await asyncio.start_server(serve, *address)
+            with pytest.raises(HttpError, match="head"):
+                await HttpClient(address).get("/", timeout_s=2.0)
+            server.close()
+
+        run_async(scenario())
+
+
 class TestClientFailures:
     @pytest.mark.parametrize(
         "answer",
--- a/plantainyoke/packet_node/_node.py
+++ b/plantainyoke/packet_node/_node.py
@@ -60,9 +60,12 @@
     ----------
     calls : int
         Number of requests to the store.
+    is_receiving : bool
+        Whether a part of an answer has arrived, and the rest is expected.
     """
 
     calls: int
+    is_receiving: bool
 
     async def read(self, after: Position) -> StoreUpdate:
         """Return what was written after a position, or a snapshot."""
@@ -177,6 +180,7 @@
             seeds=settings.seeds,
             metrics=self.metrics,
             jitter=draw_jitter,
+            is_receiving=lambda: self.reader.is_receiving,
         )
         self.exit_stack.callback(self.follower.close)
         await self.follower.server.listen(link_address, self.exit_stack)
--- a/plantainyoke/platform/_reader.py
+++ b/plantainyoke/platform/_reader.py
@@ -48,6 +48,11 @@
         """Number of calls to the store so far, failed ones included."""
         return self.store.calls
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of an answer has arrived, and the rest is expected."""
+        return self.store.http.is_receiving
+
     def close(self) -> None:
         """Close the connection to the store."""
         self.store.close()
--- a/plantainyoke/platform/_store.py
+++ b/plantainyoke/platform/_store.py
@@ -10,11 +10,18 @@
 
 import msgspec
 
-from plantainyoke.network import Address, HttpClient, HttpError, Response
+from plantainyoke.network import (
+    Address,
+    HttpClient,
+    HttpError,
+    Response,
+)
 from plantainyoke.platform._configuration import MAX_INTEGER
 from plantainyoke.telemetry import log_event
 
-READ_TIMEOUT_S = 1.5  # the store answers in milliseconds, in slow phases in 0.3 s
+# Longest silence of the store during a call. It answers in milliseconds, in slow phases
+# in 0.3 s; how long an answer takes to arrive depends on the link.
+READ_TIMEOUT_S = 1.5
 EPOCH_HEADER = "store-era"  # the platform's name of the epoch
 EPOCH_PATTERN = re.compile("[0-9]{1,18}")  # fits the integers of 64 bits in messages
 MAX_KEY_LENGTH = 200
@@ -173,7 +180,9 @@
     async def _call(self, path: str, timeout_s: float, decoder):
         self.calls += 1
         try:
-            response = await self.http.get(path, timeout_s=timeout_s)
+            response = await self.http.get(
+                path, timeout_s=timeout_s, silence_s=READ_TIMEOUT_S
+            )
         except HttpError as error:
             raise StoreUnavailableError(str(error)) from error
         _check_status(response)
--- a/plantainyoke/platform/tests/test_reader.py
+++ b/plantainyoke/platform/tests/test_reader.py
@@ -10,8 +10,9 @@
 START = Position(0, 0)
 
 
-def _configuration(version: int) -> dict:
-    return {"version": version, "routes": [], "services": []}
+def _configuration(version: int, *, filler: int = 0) -> dict:
+    document = {"version": version, "routes": [], "services": []}
+    return {**document, "filler": "x" * filler}
 
 
 @pytest.fixture
@@ -139,6 +140,20 @@
         run_scenario(scenario)
 
 
+class TestLargeAnswers:
+    def test_configuration_of_the_largest_size_is_read_over_a_slow_link(
+        self, run_scenario
+    ):
+        # The call was given up after 1.5 s, and so was each repetition (review/1).
+        async def scenario(store):
+            store.bytes_per_s = 5e6 / 8
+            store.put("op/config", _configuration(7, filler=1_000_000))
+            update = await PlatformReader((store.ip, STORE_PORT)).read(START)
+            assert update.configuration.version == 7
+
+        run_scenario(scenario)
+
+
 class TestPositions:
     def test_only_what_was_written_after_the_position_is_read(self, run_scenario):
         async def scenario(store):
--- a/plantainyoke/standins/_store.py
+++ b/plantainyoke/standins/_store.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 STORE_PORT = 18_169
+LINK_PART_BYTES = 16_384  # parts in which a slow link delivers an answer
 
 
 @dataclass(frozen=True)
@@ -56,6 +57,8 @@
         Items in an answer at most.
     before_call : callable
         Called before each call is answered.
+    bytes_per_s : float
+        Bandwidth of the link to the store, 0 if it does not matter.
     """
 
     def __init__(self, ip: str) -> None:
@@ -71,6 +74,7 @@
         self.epoch = 1
         self.page_size = 500
         self.before_call: Callable[[], None] = lambda: None
+        self.bytes_per_s = 0.0
 
     async def start(self, stack: AsyncExitStack) -> None:
         """Serve until the stack closes."""
@@ -171,7 +175,7 @@
             "hasMore": len(items) > self.page_size,
             "currentRev": self.revision,
         }
-        return web.json_response(page)
+        return await self._send(request, page)
 
     async def _watch(self, request: web.Request) -> web.Response:
         failure = await self._apply_mode()
@@ -187,4 +191,17 @@
         if not self.oldest_revision <= after <= self.revision:
             return web.Response(status=410)
         events = [event for event in self.changes if event["revision"] > after]
-        return web.json_response({"events": events, "currentRev": self.revision})
+        answer = {"events": events, "currentRev": self.revision}
+        return await self._send(request, answer)
+
+    async def _send(self, request: web.Request, answer: dict) -> web.StreamResponse:
+        if not self.bytes_per_s:
+            return web.json_response(answer)
+        body = json.dumps(answer).encode()
+        response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+        await response.prepare(request)
+        for start in range(0, len(body), LINK_PART_BYTES):
+            part = body[start : start + LINK_PART_BYTES]
+            await asyncio.sleep(len(part) / self.bytes_per_s)
+            await response.write(part)
+        return response
