Read what there is if a watch is answered with too much

The zone kept the older version for 14 s.

Now a response that states or has too many bytes has an error of its own, and the reader lists the contents instead (store_history_large), of which only the last version is a part.

Test: platform/tests/test_reader.py, 25 versions of 222 KB; fails before with StoreUnavailableError.

--- a/plantainyoke/platform/_reader.py
+++ b/plantainyoke/platform/_reader.py
@@ -16,6 +16,7 @@
     read_configuration,
 )
 from plantainyoke.platform._store import (
+    AnswerTooLargeError,
     HistoryGoneError,
     Item,
     Listing,
@@ -61,8 +62,9 @@
         """Return what was written after a position, or a snapshot.
 
         The answer is a snapshot if the position has the revision 0, if the store
-        discarded the history since, or if it was restored from a copy: revisions are
-        then given out again, and a watch may miss changes without an error.
+        discarded the history since, if the changes are too large, or if it was restored
+        from a copy: revisions are then given out again, and a watch may miss changes
+        without an error.
 
         Parameters
         ----------
@@ -86,6 +88,11 @@
                     return update
             except HistoryGoneError:
                 log_event("store_history_gone", revision=after.revision)
+            except AnswerTooLargeError as error:
+                # Many versions of a large configuration, of which only the last counts.
+                log_event(
+                    "store_history_large", revision=after.revision, error=str(error)
+                )
         update = await self._read_snapshot()
         if after.revision and update.epoch != after.epoch:
             log_event(
--- a/plantainyoke/platform/_store.py
+++ b/plantainyoke/platform/_store.py
@@ -12,6 +12,7 @@
 
 from plantainyoke.network import (
     Address,
+    BodyTooLargeError,
     HttpClient,
     HttpError,
     Response,
@@ -38,6 +39,10 @@
     """The store did not answer in time, or with something that is not an answer."""
 
 
+class AnswerTooLargeError(StoreUnavailableError):
+    """The answer exceeds the size that this process accepts."""
+
+
 class HistoryGoneError(StoreError):
     """The store has discarded the changes since the given revision."""
 
@@ -166,6 +171,8 @@
         ------
         HistoryGoneError
             If the store has discarded the changes since the revision.
+        AnswerTooLargeError
+            If the changes exceed the size that this process accepts.
         StoreUnavailableError
             If the store does not answer in time, or answers with an error.
         """
@@ -183,6 +190,8 @@
             response = await self.http.get(
                 path, timeout_s=timeout_s, silence_s=READ_TIMEOUT_S
             )
+        except BodyTooLargeError as error:
+            raise AnswerTooLargeError(str(error)) from error
         except HttpError as error:
             raise StoreUnavailableError(str(error)) from error
         _check_status(response)
--- a/plantainyoke/platform/tests/test_reader.py
+++ b/plantainyoke/platform/tests/test_reader.py
@@ -153,6 +153,22 @@
 
         run_scenario(scenario)
 
+    def test_many_versions_of_a_large_configuration_are_read_as_a_snapshot(
+        self, run_scenario
+    ):
+        # The watch was answered with all of them, beyond the limit of an answer, and
+        # so was each repetition until the history was discarded.
+        async def scenario(store):
+            reader = PlatformReader((store.ip, STORE_PORT))
+            known = (await reader.read(START)).position
+            for version in range(2, 27):
+                store.put("op/config", _configuration(version, filler=222_000))
+            update = await reader.read(known)
+            assert update.is_snapshot
+            assert update.configuration.version == 26
+
+        run_scenario(scenario)
+
 
 class TestPositions:
     def test_only_what_was_written_after_the_position_is_read(self, run_scenario):
