Send a subscriber over a slow link one batch at a time

A source wrote every change to every subscriber at once, whatever was unsent: over a slow link, versions that were already replaced delayed the last one, and a subscriber that read nothing kept up to 128 MB of frames in memory, more than a process may have.

One that reads nothing for 3 s is disconnected; it subscribes again when it runs.

Tests in catalogue/tests/test_links.py, TestSlowLinks: a subscriber that lags gets at most 3 of 6 versions, one that reads nothing is disconnected.

--- a/plantainyoke/catalogue/_subscription.py
+++ b/plantainyoke/catalogue/_subscription.py
@@ -31,7 +31,11 @@
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 64 * 1024 * 1024  # a snapshot of 55,000 targets takes 10 MB
 MAX_REQUEST_BYTES = 1024  # of a subscriber's first frame
-MAX_UNSENT_BYTES = 2 * MAX_FRAME_BYTES  # a subscriber with more is disconnected
+# A subscriber with more unsent bytes gets nothing further until it has read them; it
+# then gets what it lacks.
+MAX_UNSENT_BYTES = 64 * 1024
+BUSY_INTERVAL_S = 0.1  # until such a subscriber is tried again
+SUBSCRIBER_TIMEOUT_S = 3.0  # longest time in which a subscriber reads nothing
 
 
 class LinkError(Exception):
@@ -204,7 +208,8 @@
         """Send the age of the view to every subscriber at once."""
         for writer in list(self.subscribers):
             with suppress(LinkError):
-                self._write(writer, CatalogueFrame(self._get_age_ms()))
+                if not _is_busy(writer):
+                    self._write(writer, CatalogueFrame(self._get_age_ms()))
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -219,10 +224,7 @@
                 # that is refused tries its next source.
                 raise LinkError("limit of subscribers reached")
             self.subscribers[writer] = request
-            while not writer.is_closing():
-                if not self._send_missing_changes(writer):
-                    self._write(writer, CatalogueFrame(self._get_age_ms()))
-                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await self._send_heartbeats(writer)
         except (
             OSError,
             TimeoutError,
@@ -233,15 +235,33 @@
             log_event("subscriber_left", error=f"{type(error).__name__} {error}")
         finally:
             self.subscribers.pop(writer, None)
-            writer.close()
+            writer.transport.abort()
+
+    async def _send_heartbeats(self, writer: asyncio.StreamWriter) -> None:
+        """Send what a subscriber lacks, or a heartbeat, until it leaves."""
+        loop = asyncio.get_running_loop()
+        unsent, read_at = 0, loop.time()
+        while not writer.is_closing():
+            if not self._send_missing_changes(writer):
+                self._write(writer, CatalogueFrame(self._get_age_ms()))
+            interval_s = BUSY_INTERVAL_S if _is_busy(writer) else HEARTBEAT_INTERVAL_S
+            await asyncio.sleep(interval_s)
+            before, unsent = unsent, writer.transport.get_write_buffer_size()
+            if unsent < before or not unsent:
+                read_at = loop.time()
+            elif loop.time() - read_at > SUBSCRIBER_TIMEOUT_S:
+                raise LinkError("subscriber reads nothing")
 
     def _send_missing_changes(self, writer: asyncio.StreamWriter) -> bool:
         """Send the changes that a subscriber lacks; return whether there were any.
 
         Load pattern: each target that joins or leaves changes the ranking, and many
         processes change their source though they lack a change or two at most. They
-        receive these changes rather than a snapshot.
+        receive these changes rather than a snapshot. A subscriber over a slow link
+        receives one batch at a time: what is published meanwhile may replace it.
         """
+        if _is_busy(writer):
+            return True
         now = asyncio.get_running_loop().time()
         changes = self.list_changes_after(self.subscribers[writer], now)
         for change in changes:
@@ -257,7 +277,8 @@
         another configuration version than these build on, since it followed another
         source before, or a position of an earlier epoch, of which the number of the
         revision says nothing after a restoration of the store. So does a subscriber
-        that is ahead, but lacks what the store has lost.
+        that is ahead, but lacks what the store has lost, and one to which the changes
+        would be larger: it lacks many versions of a large configuration.
         """
         catalogue = self.catalogue
         if not catalogue.revision:
@@ -269,10 +290,23 @@
         ]
         needs_all = known.lacks_history and self._keeps_lost_state()
         version = catalogue.configuration.version
-        if missing and not needs_all and _can_apply(missing, known, version):
+        is_smaller = sum(map(_count_entries, missing)) <= self._count_all_entries()
+        if (
+            missing
+            and not needs_all
+            and is_smaller
+            and _can_apply(missing, known, version)
+        ):
             return missing
         return [catalogue.snapshot(now)]
 
+    def _count_all_entries(self) -> int:
+        """Return the number of entries of a snapshot."""
+        catalogue = self.catalogue
+        return (
+            len(catalogue.routes) + len(catalogue.services) + len(catalogue.targets) + 1
+        )
+
     def _knows_more(self, known: Subscribe) -> bool:
         """Return whether a subscriber lacks something although it is not behind."""
         catalogue = self.catalogue
@@ -290,9 +324,6 @@
     def _write(self, writer: asyncio.StreamWriter, frame: CatalogueFrame) -> None:
         if writer.is_closing():
             raise LinkError("link is closed")
-        if writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            writer.transport.abort()
-            raise LinkError("subscriber reads too slowly")
         writer.write(encode_catalogue_frame(frame))
 
     def _get_age_ms(self) -> int:
@@ -304,6 +335,26 @@
                 writer.transport.abort()
 
 
+def _is_busy(writer: asyncio.StreamWriter) -> bool:
+    """Return whether a subscriber has much to read before what is sent next."""
+    return writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES
+
+
+def _count_entries(change: CatalogueChange) -> int:
+    """Return the number of entries of a change, which determine its size."""
+    configuration = change.configuration
+    routes = 0
+    if configuration is not None:
+        routes = len(configuration.routes) + len(configuration.services)
+    return (
+        routes
+        + len(change.removed_routes)
+        + len(change.targets)
+        + len(change.removed)
+        + 1
+    )
+
+
 def record_sent(known: Subscribe, changes: list[CatalogueChange]) -> Subscribe:
     """Return what a subscriber has after it received changes."""
     versions = [one.configuration.version for one in changes if one.configuration]
--- a/plantainyoke/catalogue/tests/test_links.py
+++ b/plantainyoke/catalogue/tests/test_links.py
@@ -7,7 +7,9 @@
 from plantainyoke.catalogue import (
     Catalogue,
     CatalogueChange,
+    Route,
     RouteConfiguration,
+    RouteShare,
     Target,
     _subscription,
 )
@@ -32,6 +34,7 @@
 
 PORT = 9_500
 START = Subscribe()
+ROUTES_BEYOND_SOCKET_BUFFERS = 100_000  # some 12 MB in a frame
 
 
 class Source:
@@ -50,6 +53,23 @@
             self.catalogue.apply(change, 0.0)
             self.server.publish(change)
 
+    def publish_configuration(self, routes: int) -> None:
+        """Publish a version in which all routes differ from those of the last one."""
+        revision = self.catalogue.revision
+        version = self.catalogue.configuration.version
+        configuration = RouteConfiguration(
+            revision + 1,
+            tuple(
+                Route(f"{revision}-{number}", number, 443, (RouteShare("orders", 1),))
+                for number in range(routes)
+            ),
+        )
+        change = CatalogueChange(
+            revision, revision + 1, configuration, version_since=version
+        )
+        self.catalogue.apply(change, 0.0)
+        self.server.publish(change)
+
     async def receive_first_changes(
         self, known_revision: int, count: int = 1, *, epoch: int = 0
     ) -> list[CatalogueChange | None]:
@@ -247,6 +267,45 @@
         assert isinstance(error, TimeoutError)
         assert elapsed_s < 2 * SOURCE_TIMEOUT_S
 
+    def test_subscriber_that_reads_nothing_is_disconnected(
+        self, run_scenario, monkeypatch
+    ):
+        # It kept up to 128 MB of unsent frames in memory.
+        monkeypatch.setattr(_subscription, "SUBSCRIBER_TIMEOUT_S", 0.3)
+
+        async def scenario(source):
+            source.publish_configuration(ROUTES_BEYOND_SOCKET_BUFFERS)
+            _, writer = await open_subscription(source.address, START)
+            await wait_until(lambda: source.server.subscribers)
+            await wait_until(lambda: not source.server.subscribers)
+            writer.close()
+
+        run_scenario(scenario)
+
+    def test_subscriber_that_lags_gets_no_versions_that_were_replaced(
+        self, run_scenario, monkeypatch
+    ):
+        # Over a slow link, the versions that were published meanwhile kept it busy for
+        # longer than the bound within which the last one has to be in force.
+        monkeypatch.setattr(_subscription, "SUBSCRIBER_TIMEOUT_S", 30.0)
+
+        async def scenario(source):
+            source.publish_configuration(ROUTES_BEYOND_SOCKET_BUFFERS)
+            reader, writer = await open_subscription(source.address, START)
+            await wait_until(lambda: source.server.subscribers)
+            for _ in range(5):
+                await asyncio.sleep(0.05)
+                source.publish_configuration(ROUTES_BEYOND_SOCKET_BUFFERS)
+            versions = []
+            while not versions or versions[-1] < source.catalogue.revision:
+                frame = await read_frame(reader)
+                if frame.change is not None:
+                    versions.append(frame.change.configuration.version)
+            assert len(versions) <= 3
+            writer.close()
+
+        run_scenario(scenario)
+
 
 class TestHostileFrames:
     @pytest.mark.parametrize(
