Take an entry for a target only if it has all fields of one

Cause: the parser had defaults for slots and coldLeftMs and did not ask for version and sequence, which every target writes. Besides, an entry of a service that no configuration names hid an older target of the same host from the balancers.

Now all fields but born are required, and a target of an unnamed service counts only if its host has no other one. It is not dropped: its service may be named later, or may have been, so that it holds flows which searches have to find.

Tests that fail before: test_entries.py (four missing fields), and test_catalogue.py TestForeignEntries.

--- a/plantainyoke/catalogue/_catalogue.py
+++ b/plantainyoke/catalogue/_catalogue.py
@@ -65,7 +65,8 @@
     targets : dict of str to Target
         By name.
     target_by_host : dict of int to Target
-        Newest target of each host.
+        Newest target of each host, one of a service that the configuration names if
+        there is any.
     all_targets_by_host : dict of int to dict of str to Target
         All targets of each host, by host and name. There can be several, because the
         entry of a crashed target lapses only seconds later.
@@ -137,7 +138,7 @@
         if received is not None and received.version > self.configuration.version:
             if change.version_since not in (0, self.configuration.version):
                 return False
-            self._apply_configuration(received, change)
+            self._apply_configuration(received, change, now)
         if change.since:
             view_change = self._resolve_difference(change, now)
         else:
@@ -167,7 +168,7 @@
         received = change.configuration
         is_newer = received and received.version > self.configuration.version
         if is_newer:
-            self._apply_configuration(received, change)
+            self._apply_configuration(received, change, now)
         if self.lacks_history and (is_earlier_epoch or change.unconfirmed):
             self.lacks_history = False
             self._merge_knowledge(change, now)
@@ -307,8 +308,9 @@
         ]
 
     def _apply_configuration(
-        self, received: RouteConfiguration, change: CatalogueChange
+        self, received: RouteConfiguration, change: CatalogueChange, now: float
     ) -> None:
+        services_before = set(self.services)
         if not change.version_since:
             self.routes, self.services = {}, {}
         for endpoint in change.removed_routes:
@@ -317,6 +319,10 @@
             self.routes[route.endpoint] = route
         self.services.update(received.services)
         self.configuration = msgspec.structs.replace(received, routes=(), services={})
+        if self.services.keys() != services_before:
+            for host, targets in self.all_targets_by_host.items():
+                if len(targets) > 1:
+                    self._index_host(host, now)
 
     def _resolve_difference(
         self, change: CatalogueChange, now: float
@@ -432,11 +438,17 @@
         return {target.host}
 
     def _index_host(self, host: int, now: float) -> None:
-        """Index a host by its newest target."""
+        """Index a host by its newest target.
+
+        A target of a service that the configuration does not name counts only if there
+        is no other one: another program may have written its entry.
+        """
         before = self.target_by_host.pop(host, None)
         candidates = self.all_targets_by_host.get(host, {}).values()
         newest = max(
-            candidates, key=lambda target: (target.born_ms, target.name), default=None
+            candidates,
+            key=lambda one: (one.service in self.services, one.born_ms, one.name),
+            default=None,
         )
         if before is not None:
             del self.targets_by_service[before.service][host]
--- a/plantainyoke/catalogue/tests/test_catalogue.py
+++ b/plantainyoke/catalogue/tests/test_catalogue.py
@@ -88,6 +88,42 @@
         assert not catalogue.departure_times
 
 
+class TestForeignEntries:
+    """Another program writes an entry with the address of a target's host."""
+
+    ORDERS = {"orders": ServiceLimits(10, 1.0, 1.0)}
+    OWN = _target("own", born_ms=1)
+    FOREIGN = _target("foreign", service="exporter", born_ms=2)
+
+    def test_entry_of_an_unnamed_service_hides_no_target(self):
+        catalogue = Catalogue()
+        configuration = RouteConfiguration(1, services=self.ORDERS)
+        change = CatalogueChange(0, 1, configuration, targets=(self.OWN, self.FOREIGN))
+        catalogue.apply(change, 0.0)
+        assert catalogue.target_by_host == {1: self.OWN}
+        assert catalogue.list_eligible_targets("orders") == [self.OWN]
+
+    def test_service_named_later_counts_from_then_on(self):
+        # A target may register before the configuration names its service.
+        catalogue = Catalogue()
+        configuration = RouteConfiguration(1, services=self.ORDERS)
+        change = CatalogueChange(0, 1, configuration, targets=(self.OWN, self.FOREIGN))
+        catalogue.apply(change, 0.0)
+        services = {"exporter": ServiceLimits(10, 1.0, 1.0)}
+        configuration = RouteConfiguration(2, services=services)
+        catalogue.apply(CatalogueChange(1, 2, configuration, 1), 0.0)
+        assert catalogue.target_by_host == {1: self.FOREIGN}
+
+    def test_target_of_a_service_that_is_no_longer_named_can_still_be_found(self):
+        # It may hold open flows.
+        catalogue = Catalogue()
+        configuration = RouteConfiguration(1, services=self.ORDERS)
+        catalogue.apply(CatalogueChange(0, 1, configuration, targets=(self.OWN,)), 0.0)
+        catalogue.apply(CatalogueChange(0, 2, RouteConfiguration(2)), 0.0)
+        catalogue.apply(CatalogueChange(2, 3, targets=(self.OWN,)), 0.0)
+        assert catalogue.target_by_host == {1: self.OWN}
+
+
 class TestRoutes:
     def _change(self, since, version, routes, *, builds_on=0, removed=()):
         configuration = RouteConfiguration(version, tuple(routes))
--- a/plantainyoke/platform/_entries.py
+++ b/plantainyoke/platform/_entries.py
@@ -49,14 +49,20 @@
 
 
 class _Target(msgspec.Struct, rename="camel"):
+    """Entry of a target; other programs may write below its prefix, too.
+
+    The fields that are not used tell such entries apart: a target writes all of them.
+    """
+
     service: Name
     address: str
     zone: Name
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 1
-    cold_left_ms: float = 0.0
+    cold_left_ms: float
+    sequence: Integer
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)] = 0
-    sequence: Integer = 0
 
 
 class _Parts(msgspec.Struct):
--- a/plantainyoke/platform/tests/test_entries.py
+++ b/plantainyoke/platform/tests/test_entries.py
@@ -156,6 +156,14 @@
         with pytest.raises(EntryError):
             parse_target("i-1", value[:-1] + b", " + rest)
 
+    @pytest.mark.parametrize("field", sorted(TARGET.keys() - {"born"}))
+    def test_entry_that_lacks_a_field_is_rejected(self, field):
+        # Without slots, version, coldLeftMs and sequence, an entry with the address of
+        # a target counted as its restart, and the open flows were reset (review/3).
+        document = {name: value for name, value in TARGET.items() if name != field}
+        with pytest.raises(EntryError):
+            parse_target("i-1", json.dumps(document).encode())
+
     @pytest.mark.parametrize("name", ["", "n" * 201])
     def test_name_out_of_range_is_rejected(self, name):
         with pytest.raises(EntryError):
--- a/plantainyoke/standins/_packet_fleet.py
+++ b/plantainyoke/standins/_packet_fleet.py
@@ -265,8 +265,10 @@
                 "service": loopback_host.service,
                 "address": f"{loopback_host.ip}:{TARGET_PORT}",
                 "zone": loopback_host.zone,
+                "version": "v1",
                 "slots": 4,
                 "state": state,
+                "sequence": 1,
                 "coldLeftMs": max(
                     0, round((loopback_host.cold_until - self.now) * 1000)
                 ),
--- a/plantainyoke/tests/test_packet_processes.py
+++ b/plantainyoke/tests/test_packet_processes.py
@@ -271,6 +271,8 @@
         {"zone": "z" * 100_000},
         {"service": ""},
         {"state": "x" * 100_000},
+        {"service": "exporter", "born": 2**40},
+        {"version": None, "born": 2**40},
     )
 
     def _write(self, fleet):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -21,6 +22,28 @@
 RESET_SHARES = (0.1, 0.46, 1.0)  # below detection, as measured on a bad day, total
 WORK_FACTORS = (2.0, 4.0)  # fast to slow targets differ 2.2 times (hard-load.md)
 
+UNREADABLE_ENTRIES = (
+    b"\xff\x00",
+    b"{}",
+    b"[1]",
+    b'{"service": 7, "state": "ready"}',
+    b"",
+)
+ODD_FIELD_SHARE = 0.75  # of the odd entries; the others cannot be read at all
+# Changes that make an entry one of another program; None leaves the field out.
+ODD_FIELDS = (
+    ("slots", 2**127),
+    ("slots", 0),
+    ("slots", None),
+    ("version", None),
+    ("sequence", None),
+    ("coldLeftMs", 10**400),
+    ("service", "exporter"),
+    ("state", "gone"),
+    ("address", "10.1.0.40:65536"),
+    ("zone", "z" * 10_000),
+)
+
 Fault = Callable[[SoakSite], Awaitable[None]]
 
 
@@ -216,12 +239,26 @@
         await asyncio.sleep(_draw_duration_s(site, 0.5))
 
 
-async def write_nonsense(site: SoakSite) -> None:
-    """Write malformed target entries to the store, as a faulty writer would."""
+async def write_odd_entries(site: SoakSite) -> None:
+    """Write target entries that name no target, as another program would.
+
+    Each is an entry of a target with one change, or nothing that can be read.
+    """
+    entries = [
+        content
+        for key, content in site.store.written.items()
+        if key.startswith("servers/t-")
+    ]
     for number in range(3):
-        content = site.rng.choice(
-            [b"\xff\x00", b"{}", b"[1]", b'{"service": 7, "state": "ready"}', b""]
-        )
+        content = site.rng.choice(UNREADABLE_ENTRIES)
+        if entries and site.entry_rng.random() < ODD_FIELD_SHARE:
+            document = json.loads(site.entry_rng.choice(entries))
+            document["born"] += 1000  # it would count as a restart of the target
+            name, value = site.entry_rng.choice(ODD_FIELDS)
+            document[name] = value
+            if value is None:
+                del document[name]
+            content = json.dumps(document).encode()
         site.store.put_bytes(f"servers/other-{number}", content)
 
 
@@ -363,7 +400,7 @@
     lapse_entries,
     restore_store,
     discard_history,
-    write_nonsense,
+    write_odd_entries,
     hurt_callers,
     crash_targets,
     freeze_target,
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -51,6 +51,8 @@
 
     Attributes
     ----------
+    entry_rng : random.Random
+        Draws odd entries, apart from the faults of the seed.
     kept_down : Counter of str
         Number of faults that prevent the restart of each host's process.
     leaving : set of str
@@ -69,6 +71,7 @@
     def __init__(self, plan: PacketFleetPlan, directory: Path, *, seed: int) -> None:
         super().__init__(plan, directory, seed=seed)
         self.network = ProxiedNetwork(random.Random(seed + 1), self.stack)
+        self.entry_rng = random.Random(seed + 2)
         self.checker = InvariantChecker(self.now)
         self.kept_down: Counter[str] = Counter()
         self.leaving: set[str] = set()
