--- a/plantainyoke/network/_transfer.py
+++ b/plantainyoke/network/_transfer.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 
 READ_BYTES = 65_536
 MIN_BYTES_PER_S = 125_000  # a fifth of the slowest links, which have 5 Mbit/s
@@ -19,7 +20,7 @@
     Parameters
     ----------
     silence_s : float
-        Time to wait for each part.
+        Time to wait for each part; infinity only counts what arrives.
     now : float
         Time at which the transfer was requested, in seconds.
     first_part_s : float, optional
@@ -61,7 +62,7 @@
     TimeoutError
         If the deadline passes.
     """
-    async with asyncio.timeout_at(deadline.at):
+    async with asyncio.timeout_at(None if math.isinf(deadline.at) else deadline.at):
         part = await reader.read(min(max_bytes, READ_BYTES))
     deadline.record_part(len(part), asyncio.get_running_loop().time())
     return part
--- a/plantainyoke/node/_documents.py
+++ b/plantainyoke/node/_documents.py
@@ -4,15 +4,19 @@
 platform. The peer sends its index as a delta if it can.
 """
 
+import asyncio
 import zlib
 
 from returns.result import Failure
 
-from plantainyoke.node._links import LinkClosedError
+from plantainyoke.network import TransferDeadline
+from plantainyoke.node._links import Link, LinkClosedError
 from plantainyoke.node._node import Node
 
 HOSTS_DOCUMENT = "hosts"
 MAX_DOCUMENT_BYTES = 1_000_000
+PULL_SILENCE_S = 3.0  # longest silence of a peer that was asked for a document
+PROGRESS_INTERVAL_S = 0.25  # between two looks at what has arrived
 
 
 class DocumentExchange:
@@ -89,6 +93,8 @@
         ------
         LinkClosedError
             If the peer cannot be reached or closes the link.
+        TimeoutError
+            If nothing arrives from the peer for ``PULL_SILENCE_S``, or too little.
         zlib.error
             If the document is damaged or exceeds ``MAX_DOCUMENT_BYTES``.
         """
@@ -101,7 +107,7 @@
             pull.chunk = chunk
             pull.have = have
             link.send(frame)
-            answer = await queue.get()
+            answer = await _wait_for_answer(link, queue)
             if answer is None:
                 raise LinkClosedError
             document = answer["document"]
@@ -110,6 +116,29 @@
             link.close_request(number)
 
 
+async def _wait_for_answer(link: Link, queue: asyncio.Queue) -> dict | None:
+    """Return the answer to a pull, None if the link was closed.
+
+    Raises
+    ------
+    TimeoutError
+    """
+    loop = asyncio.get_running_loop()
+    progress = link.reader.progress
+    deadline = TransferDeadline(PULL_SILENCE_S, loop.time())
+    received = progress.received
+    while True:
+        try:
+            async with asyncio.timeout(PROGRESS_INTERVAL_S):
+                return await queue.get()
+        except TimeoutError:
+            if progress.received > received:
+                deadline.record_part(progress.received - received, loop.time())
+                received = progress.received
+            if loop.time() >= deadline.at:
+                raise
+
+
 def _decompress(body: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     document = decompressor.decompress(body, MAX_DOCUMENT_BYTES)
--- a/plantainyoke/node/_follower.py
+++ b/plantainyoke/node/_follower.py
@@ -31,7 +31,6 @@
 
 POLL_INTERVAL_S = 0.5
 PARENT_TIMEOUT_S = 2.0
-PULL_TIMEOUT_S = 3.0
 PULL_JITTER_S = 0.2
 BOOTSTRAP_RETRY_S = 0.5
 HOSTS_INTERVAL_S = 5.0
@@ -72,6 +71,8 @@
         Loop time from which the platform may be read in place of silent parents.
     apply_lock : asyncio.Lock
         Serializes checking and applying indexes.
+    fetched_chunks : dict of str to bytes
+        Chunks of a generation of which others could not be fetched yet, by digest.
     """
 
     def __init__(self, node: Node, rng: random.Random) -> None:
@@ -87,6 +88,7 @@
         self.parent_index = 0
         self.next_fallback_read_at = 0.0
         self.apply_lock = asyncio.Lock()
+        self.fetched_chunks: dict[str, bytes] = {}
         self.watch_task: asyncio.Task | None = None
         self.seeds = [pack_address(parse_address(seed)) for seed in node.settings.seeds]
         node.follower = self
@@ -164,10 +166,9 @@
     async def pull(self, peer: int) -> None:
         """Pull a peer's index and the missing chunks, and apply them if newer."""
         try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                document = await self.documents.pull_index(peer)
-                if document:
-                    await self.accept_index(document, peer)
+            document = await self.documents.pull_index(peer)
+            if document:
+                await self.accept_index(document, peer)
         except (LinkClosedError, TimeoutError, zlib.error):
             self.node.metrics.count("configuration.pull_failed")
 
@@ -198,14 +199,23 @@
             return await self._apply(pending, peer)
 
     async def _apply(self, pending: PendingIndex, peer: int | None) -> bool:
-        chunk_documents = {}
-        for digest in pending.missing_digests:
+        missing = pending.missing_digests
+        # Chunks of an attempt that failed are not transferred again.
+        fetched = self.fetched_chunks = {
+            digest: body
+            for digest, body in self.fetched_chunks.items()
+            if digest in missing
+        }
+        for digest in missing:
+            if digest in fetched:
+                continue
             body = await self._fetch_chunk(digest, peer)
             if body is None:
                 self.node.metrics.count("configuration.chunk_missing")
                 return False
-            chunk_documents[digest] = body
-        applied = self.node.configuration.apply(pending, chunk_documents)
+            fetched[digest] = body
+        self.fetched_chunks = {}
+        applied = self.node.configuration.apply(pending, fetched)
         if isinstance(applied, Failure):
             self.node.metrics.count("configuration.bad_chunk")
             log_event("configuration_refused", error=str(applied.failure()))
@@ -258,8 +268,7 @@
     async def _pull_hosts(self) -> bytes:
         for parent in self.plan.parents:
             try:
-                async with asyncio.timeout(PULL_TIMEOUT_S):
-                    _, document = await self.documents.pull(parent, HOSTS_DOCUMENT)
+                _, document = await self.documents.pull(parent, HOSTS_DOCUMENT)
             except (LinkClosedError, TimeoutError, zlib.error):
                 document = b""
             if document:
--- a/plantainyoke/publication/_client.py
+++ b/plantainyoke/publication/_client.py
@@ -9,7 +9,9 @@
 import aiohttp
 from returns.result import Failure, Result, Success
 
-READ_TIMEOUT_S = 3.0
+from plantainyoke.network import TransferDeadline
+
+READ_TIMEOUT_S = 3.0  # longest silence of the platform during a call
 WATCH_TIMEOUT_S = 20.0
 MAX_BODY_BYTES = 1_000_000
 
@@ -81,20 +83,41 @@
 
     async def _get(self, path: str, timeout_s: float) -> Result[bytes, PlatformError]:
         self.calls += 1
+        now = asyncio.get_running_loop().time()
+        deadline = TransferDeadline(READ_TIMEOUT_S, now, first_part_s=timeout_s)
         try:
-            async with (
-                asyncio.timeout(timeout_s),
-                self.session.get(self.base_url + path) as response,
-            ):
+            async with AsyncExitStack() as stack:
+                async with asyncio.timeout_at(deadline.at):
+                    response = await stack.enter_async_context(
+                        self.session.get(self.base_url + path)
+                    )
                 if response.status == 404:
                     return Failure(DocumentNotFoundError(path))
                 if response.status != 200:
                     return Failure(PlatformUnavailableError(f"{response.status}"))
-                body = await response.content.read(MAX_BODY_BYTES + 1)
-                while not response.content.at_eof() and len(body) <= MAX_BODY_BYTES:
-                    body += await response.content.read(MAX_BODY_BYTES)
-                if len(body) > MAX_BODY_BYTES:
-                    return Failure(DocumentTooLargeError(path))
-                return Success(body)
+                return await _read_document(response.content, path, deadline)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Failure(PlatformUnavailableError(type(error).__name__))
+
+
+async def _read_document(
+    content: aiohttp.StreamReader, path: str, deadline: TransferDeadline
+) -> Result[bytes, PlatformError]:
+    """Return the body of a response.
+
+    Raises
+    ------
+    TimeoutError
+        If the platform is silent or too slow.
+    """
+    loop = asyncio.get_running_loop()
+    deadline.record_part(0, loop.time())
+    body = bytearray()
+    while not content.at_eof():
+        async with asyncio.timeout_at(deadline.at):
+            part = await content.readany()
+        deadline.record_part(len(part), loop.time())
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            return Failure(DocumentTooLargeError(path))
+    return Success(bytes(body))
--- a/plantainyoke/wire/_link.py
+++ b/plantainyoke/wire/_link.py
@@ -11,6 +11,7 @@
 
 import capnp
 
+from plantainyoke.network import TransferDeadline, read_exactly
 from plantainyoke.wire._errors import AuthenticationError, MalformedError
 from plantainyoke.wire._mac import MAC_SIZE, MessageAuthenticator
 from plantainyoke.wire._schema import schema
@@ -67,6 +68,11 @@
     authenticator : MessageAuthenticator
     signing_context : bytes
         The value that the peer's ``FrameWriter`` has.
+
+    Attributes
+    ----------
+    progress : TransferDeadline
+        Counts the bytes that have arrived; a link may be silent between frames.
     """
 
     def __init__(
@@ -76,6 +82,7 @@
         self.authenticator = authenticator
         self.signing_context = signing_context
         self.sequence = 0
+        self.progress = TransferDeadline(float("inf"), 0.0)
 
     async def read(self):
         """Return the next ``Frame``.
@@ -87,13 +94,13 @@
         asyncio.IncompleteReadError
             If the peer closed the stream.
         """
-        (length,) = LENGTH.unpack(await self.reader.readexactly(LENGTH.size))
+        (length,) = LENGTH.unpack(await self._read(LENGTH.size))
         if length > MAX_FRAME_SIZE:
             raise MalformedError(
                 f"frame of {length} bytes exceeds the limit of {MAX_FRAME_SIZE}"
             )
-        code = await self.reader.readexactly(MAC_SIZE)
-        content = await self.reader.readexactly(length)
+        code = await self._read(MAC_SIZE)
+        content = await self._read(length)
         if not self.authenticator.verify(code, self.signing_context + content):
             raise AuthenticationError
         try:
@@ -111,6 +118,9 @@
             )
         return frame
 
+    async def _read(self, size: int) -> bytes:
+        return await read_exactly(self.reader, size, self.progress)
+
 
 async def handshake_link(
     reader, writer, authenticator: MessageAuthenticator, *, initiator: bool
