--- a/plantainyoke/agent/_agent.py
+++ b/plantainyoke/agent/_agent.py
@@ -371,9 +371,9 @@
         await ControlServer(settings.control, queries).start(stack)
     await follower.bootstrap()
     follower.start()
-    node.start_task(agent.upstream.poll_health(), name="health")
-    node.start_task(agent.probe_siblings(), name="siblings")
-    node.start_task(agent.announce_leaving(), name="leaving")
-    node.start_task(agent.rebalancer.run(), name="rebalance")
+    node.start_essential_task(agent.upstream.poll_health, name="health")
+    node.start_essential_task(agent.probe_siblings, name="siblings")
+    node.start_essential_task(agent.announce_leaving, name="leaving")
+    node.start_essential_task(agent.rebalancer.run, name="rebalance")
     log_event("agent_started", listen=settings.listen, service=settings.agent.service)
     return agent
--- a/plantainyoke/balancer/_balancer.py
+++ b/plantainyoke/balancer/_balancer.py
@@ -296,6 +296,6 @@
         await ControlServer(settings.control, queries).start(stack)
     await follower.bootstrap()
     follower.start()
-    node.start_task(balancer.monitor.run(), name="target_watch")
+    node.start_essential_task(balancer.monitor.run, name="target_watch")
     log_event("balancer_started", listen=settings.listen)
     return balancer
--- a/plantainyoke/node/_follower.py
+++ b/plantainyoke/node/_follower.py
@@ -134,9 +134,9 @@
         """
         gc.collect()
         gc.freeze()
-        self.node.start_task(self._pull_newer(), name="pull")
-        self.node.start_task(self._poll_parents(), name="poll")
-        self.node.start_task(self._refresh_hosts_loop(), name="hosts")
+        self.node.start_essential_task(self._pull_newer, name="pull")
+        self.node.start_essential_task(self._poll_parents, name="poll")
+        self.node.start_essential_task(self._refresh_hosts_loop, name="hosts")
         self._update_watch()
 
     async def refresh_hosts(self) -> None:
@@ -299,7 +299,9 @@
 
     def _update_watch(self) -> None:
         if self.plan.is_reader and self.watch_task is None:
-            self.watch_task = self.node.start_task(self._watch_platform(), name="watch")
+            self.watch_task = self.node.start_essential_task(
+                self._watch_platform, name="watch"
+            )
         elif not self.plan.is_reader and self.watch_task is not None:
             self.watch_task.cancel()
             self.watch_task = None
--- a/plantainyoke/node/_node.py
+++ b/plantainyoke/node/_node.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
@@ -160,6 +160,12 @@
         """Run a task until the node closes; its failure is logged."""
         return self.tasks.start_task(coroutine, name=name)
 
+    def start_essential_task(
+        self, run: Callable[[], Awaitable[None]], *, name: str
+    ) -> asyncio.Task:
+        """Run a coroutine function until the node closes, again whenever it fails."""
+        return self.tasks.start_essential_task(run, name=name)
+
     def receive(self, datagram: bytes, source: Address) -> None:
         """Authenticate one envelope and pass its message to the handler."""
         self.received_at = self.socket.loop.time()
@@ -248,6 +254,6 @@
     await node.links.listen(address)
     stack.push_async_callback(node.links.aclose)
     stack.push_async_callback(node.tasks.aclose)
-    node.start_task(node.pause_detector.run(), name="pauses")
-    node.start_task(node._flush_metrics(), name="metrics")
+    node.start_essential_task(node.pause_detector.run, name="pauses")
+    node.start_essential_task(node._flush_metrics, name="metrics")
     return node
