Let the tests of network reservations use a free network

Two tests now reserve the number of a network that was free just before; what they assert is unchanged.

--- a/plantainyoke/standins/tests/test_loopback.py
+++ b/plantainyoke/standins/tests/test_loopback.py
@@ -14,6 +14,12 @@
 """
 
 
+def _find_free_number():
+    """Return the number of a network that no other rig on this computer uses."""
+    with reserve_network() as prefix:
+        return int(prefix.partition(".")[2]) - loopback.FIRST_NETWORK
+
+
 class TestReservation:
     def test_reservations_in_one_process_differ(self):
         with reserve_network() as first, reserve_network() as second:
@@ -34,14 +40,16 @@
         other.communicate("\n")
 
     def test_network_is_free_again_after_the_context(self, monkeypatch):
-        monkeypatch.setattr(loopback, "_numbers", iter((3, 3)))
+        number = _find_free_number()
+        monkeypatch.setattr(loopback, "_numbers", iter((number, number)))
         with reserve_network() as first:
             pass
         with reserve_network() as second:
             assert first == second
 
     def test_no_free_network_is_an_error(self, monkeypatch):
-        monkeypatch.setattr(loopback, "_numbers", iter((3, 3)))
+        number = _find_free_number()
+        monkeypatch.setattr(loopback, "_numbers", iter((number, number)))
         with reserve_network():
             with pytest.raises(NoFreeNetworkError):
                 with reserve_network():
