Limit the flows of a target that restarted before its entry says so

Cause: an agent knew a cold start from the entry only, though it sees that the target answers again after a silence, or returns packets of flows that it held. The limit counted only flows that were admitted in cold start, and began anew with a restart of the agent.

Now both signs make the target count as cold until the entry of a new incarnation arrives, at most for a cold start and two heartbeats; every flow that it gets counts; an agent that starts beside an older target admits none to it in cold start for one window. Pauses of the agent are no sign.

--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -39,7 +39,7 @@
 from plantainyoke.packet_agent._sender import AgentTransport, MessageSender
 from plantainyoke.packet_agent._target_probes import TargetProbe, expire_target_probes
 from plantainyoke.packet_node import ALL_FEATURES, FeatureSettings, PacketCodec
-from plantainyoke.placement import FlowAdmission
+from plantainyoke.placement import COLD_WINDOW_S, FlowAdmission
 from plantainyoke.telemetry import Metrics, log_event
 
 
@@ -103,6 +103,8 @@
         self.metrics = metrics
         self.features = features
         self.flow_table = FlowTable(complete_since=complete_since)
+        if complete_since > float("-inf"):
+            admission.cold_start_limiter.blocked_until = started_at + COLD_WINDOW_S
         self.knowledge = FlowKnowledge(
             catalogue=catalogue,
             flow_table=self.flow_table,
@@ -362,6 +364,7 @@
     def receive_from_target(self, segment: Segment, now: float) -> None:
         """Handle one packet that the target sent."""
         self.now = now
+        self.ejector.detect_pause(now)
         self._handle_target_packet(segment)
         if self.opener.waiting_room.flows:
             self.opener.admit_waiting(now)
@@ -370,11 +373,11 @@
         if segment.bounced:
             self._receive_bounced(segment)
             return
-        self.admission.record_target_packet()
+        self.admission.record_target_packet(self.now)
         flow = segment.flow
         self.transport.send_to_caller(flow, segment.raw)
         if segment.opens:
-            self.opener.receive_acceptance(segment)
+            self.opener.receive_acceptance(segment, self.now)
             return
         held = self.flow_table.find(flow)
         if held is None:
@@ -404,7 +407,7 @@
         flow = segment.flow
         half_open = self.flow_table.half_open.pop(flow, None)
         if half_open is not None and segment.opens:
-            self.admission.record_target_packet()
+            self.admission.record_target_packet(self.now)
             self.opener.handle_refusal(flow, half_open, FlowRefusal.REJECTED)
             return
         probe = self.target_probes.pop(flow, None)
@@ -419,6 +422,8 @@
             # The target held the flow and lost it, so it was started again.
             held = self.flow_table.remove(flow)
             self.sender.reset_flow(flow, segment.acknowledged, "target_lost_flow")
+            if not held.is_closing:
+                self.admission.record_lost_flow(held.opened_at, self.now)
             self.lost_flows.record_lost_flow(flow, held, self.now)
             return
         self.metrics.counters["drop.bounced"] += 1
--- a/plantainyoke/packet_agent/_ejection.py
+++ b/plantainyoke/packet_agent/_ejection.py
@@ -126,7 +126,7 @@
 
     def tick(self, now: float) -> None:
         """Detect pauses, and reset idle flows that were in use before."""
-        self._detect_pause(now)
+        self.detect_pause(now)
         self.ticked_at = now
         for flow in self.tracker.requests.keys() - self.flow_table.requests.keys():
             self.tracker.end(flow)
@@ -138,7 +138,7 @@
 
     def _is_evidence(self, held: HeldFlow, now: float) -> bool:
         """Return whether a failure on a flow says something about the target."""
-        self._detect_pause(now)
+        self.detect_pause(now)
         if now < self.counts_from or held.is_reopened:
             return False
         if held.in_flight_at_request > OVERLOAD_SHARE * self.slots + OVERLOAD_EXTRA:
@@ -147,9 +147,10 @@
             return False
         return self.admission.current_refusal(0, now) not in EXCUSED_REFUSALS
 
-    def _detect_pause(self, now: float) -> None:
+    def detect_pause(self, now: float) -> None:
         """Ignore failures for a while if this process does not tick in time."""
         if now - self.ticked_at > MAX_TICK_GAP_S:
+            self.admission.record_pause()
             self.counts_from = now + QUIET_PERIOD_S
             self.window.clear()
             self.tracker.requests.clear()
--- a/plantainyoke/packet_agent/_incarnation.py
+++ b/plantainyoke/packet_agent/_incarnation.py
@@ -53,7 +53,7 @@
 
         Flows of an earlier incarnation of the target are reset before their callers
         send requests on them. If the target is as young as what this process has seen
-        of it, the table has all of its flows.
+        of it, the table has all of its flows, and no earlier process has admitted any.
 
         Parameters
         ----------
@@ -67,11 +67,13 @@
         incarnation = target.name, target.born_ms
         if incarnation == self.incarnation:
             return
+        self.admission.record_new_entry(now)
         age_s = unix_s - target.born_ms / 1000
         # A negative age shows that the clock was set: it says nothing about the flows.
         # Those that the target lost are reset when it returns their next packets.
         if 0 <= age_s < now - self.flow_table.complete_since + START_MARGIN_S:
             self.flow_table.complete_since = float("-inf")
+            self.admission.cold_start_limiter.blocked_until = 0.0
         if self.incarnation is not None and age_s >= 0:
             self._schedule_resets(target, age_s, now)
         self.incarnation = incarnation
--- a/plantainyoke/packet_agent/_opening.py
+++ b/plantainyoke/packet_agent/_opening.py
@@ -26,7 +26,12 @@
 from plantainyoke.network import format_host
 from plantainyoke.packet_agent._sender import AgentTransport, MessageSender
 from plantainyoke.packet_node import PacketCodec
-from plantainyoke.placement import FlowAdmission, WaitingFlow, WaitingRoom
+from plantainyoke.placement import (
+    TARGET_SILENT_S,
+    FlowAdmission,
+    WaitingFlow,
+    WaitingRoom,
+)
 from plantainyoke.telemetry import Metrics, log_event
 
 # Part of a route's `aim_s` that a flow may be expected to take if it is to wait; the
@@ -119,12 +124,15 @@
         elif refusal != FlowRefusal.BUSY or not self._try_wait(segment, half_open, now):
             self.handle_refusal(flow, half_open, refusal)
 
-    def receive_acceptance(self, segment: Segment) -> None:
+    def receive_acceptance(self, segment: Segment, now: float) -> None:
         """Report to the balancer that the target accepted a first packet."""
         flow = segment.flow
         half_open = self.flow_table.half_open.get(flow)
         if half_open is None:
             return
+        if now - half_open.sent_at > TARGET_SILENT_S:
+            # A copy was accepted by a target that was down when the flow was admitted.
+            self.admission.cold_start_limiter.record(now)
         half_open.acceptance_sequence = segment.sequence
         self.sender.send_flow(
             MessageKind.ACCEPTED, half_open.ingress.host, flow, half_open.ingress
--- a/plantainyoke/placement/__init__.py
+++ b/plantainyoke/placement/__init__.py
@@ -5,6 +5,8 @@
 """
 
 from plantainyoke.placement._admission import (
+    COLD_WINDOW_S,
+    TARGET_SILENT_S,
     ColdStartLimiter,
     ColdStartTolerance,
     FlowAdmission,
@@ -26,6 +28,8 @@
 from plantainyoke.placement._work_time import WorkTimeEstimator
 
 __all__ = [
+    "COLD_WINDOW_S",
+    "TARGET_SILENT_S",
     "ColdStartLimiter",
     "ColdStartTolerance",
     "FlowAdmission",
--- a/plantainyoke/placement/_admission.py
+++ b/plantainyoke/placement/_admission.py
@@ -21,6 +21,9 @@
 # begins when the first ends.
 QUEUED_SHARE = 2
 SILENT_RETRY_INTERVAL_S = 0.5  # one flow per interval probes a silent target
+# A target that answers again after this time may have restarted. It is above the gap
+# between ticks that counts as a pause of the agent itself.
+RESTART_SILENCE_S = 0.8
 
 
 class ColdStartTolerance(msgspec.Struct, frozen=True):
@@ -51,11 +54,26 @@
 
     Load pattern: a target that starts, or each target of a zone that returns, is the
     least loaded one and would receive every new flow at once. The limiter admits a
-    fixed number of them in a sliding window of `COLD_WINDOW_S`.
+    fixed number of them in a sliding window of `COLD_WINDOW_S`. Flows that the target
+    got before it was known to be cold count as well.
+
+    Attributes
+    ----------
+    admitted : deque of float
+        Times of the flows in the window, in seconds.
+    blocked_until : float
+        Time until which no flow is admitted, because an earlier process may have
+        admitted some that are not known here.
     """
 
     def __init__(self) -> None:
         self.admitted: deque[float] = deque()
+        self.blocked_until = 0.0
+
+    def record(self, now: float) -> None:
+        """Record a flow that the target got."""
+        self._remove_expired(now)
+        self.admitted.append(now)
 
     def try_acquire(self, limit: int, now: float) -> bool:
         """Admit one flow if fewer than `limit` were admitted in the current window.
@@ -72,14 +90,16 @@
         bool
             Whether the flow is admitted.
         """
-        admitted = self.admitted
-        while admitted and now - admitted[0] >= COLD_WINDOW_S:
-            admitted.popleft()
-        if len(admitted) >= limit:
+        self._remove_expired(now)
+        if len(self.admitted) >= limit or now < self.blocked_until:
             return False
-        admitted.append(now)
+        self.admitted.append(now)
         return True
 
+    def _remove_expired(self, now: float) -> None:
+        while self.admitted and now - self.admitted[0] >= COLD_WINDOW_S:
+            self.admitted.popleft()
+
 
 class FlowAdmission(msgspec.Struct):
     """Admission of new flows to one target.
@@ -99,7 +119,13 @@
     is_leaving : bool
         Whether this process is stopping.
     cold_until : float
-        Time until which the target counts as cold regardless of its entry.
+        Time until which the target counts as cold regardless of its entry, because its
+        zone was restored.
+    restarted_at : float
+        Time at which the latest restart of the target was noticed.
+    restart_cold_until : float
+        Time until which the target counts as cold because it seems to have restarted,
+        which its entry does not state yet.
     unanswered_since : float
         Time of the earliest first packet sent to the target since the target last
         sent a packet, 0 if there is none.
@@ -118,6 +144,8 @@
     service: str = ""
     is_leaving: bool = False
     cold_until: float = 0.0
+    restarted_at: float = float("-inf")
+    restart_cold_until: float = 0.0
     unanswered_since: float = 0.0
     retried_at: float = 0.0
     cold_start_limiter: ColdStartLimiter = msgspec.field(
@@ -141,7 +169,9 @@
     def is_cold(self, now: float) -> bool:
         """Return whether the target is in cold start."""
         target = self.target
-        return target is not None and (target.cold or now < self.cold_until)
+        return target is not None and (
+            target.cold or now < max(self.cold_until, self.restart_cold_until)
+        )
 
     def record_zone_return(self, now: float) -> None:
         """Treat the target as cold after its zone was restored.
@@ -149,20 +179,48 @@
         The period covers the cold start and two heartbeats, in which the target's
         entry is renewed and then reports whether the target is cold.
         """
-        target = self.target
-        if target is None:
-            return
-        limits = self.catalogue.services.get(target.service)
+        if self.target is not None:
+            self.cold_until = now + self._get_cold_period_s()
+
+    def record_restart(self, now: float) -> None:
+        """Treat the target as cold, because it behaves as after a restart.
+
+        Load pattern: a target that crashed serves again before its new entry arrives.
+        It is idle then, and would get every new flow.
+        """
+        self.restarted_at = now
+        if self.target is not None:
+            self.restart_cold_until = now + self._get_cold_period_s()
+
+    def record_lost_flow(self, opened_at: float, now: float) -> None:
+        """Record that the target lost a flow, unless a known restart explains it."""
+        if opened_at > self.restarted_at:
+            self.record_restart(now)
+
+    def record_new_entry(self, now: float) -> None:
+        """Rely on the entry of a new incarnation, which states whether it is cold."""
+        self.restarted_at = now
+        self.restart_cold_until = 0.0
+
+    def _get_cold_period_s(self) -> float:
+        """Return the time of a cold start, and that in which an entry is renewed."""
+        limits = self.catalogue.services.get(self.target.service)
         cold_start_s = limits.cold_start_s if limits else 0.0
-        self.cold_until = now + cold_start_s + 2 * self.heartbeat_s
+        return cold_start_s + 2 * self.heartbeat_s
 
     def record_first_packet(self, now: float) -> None:
         """Record that a flow's first packet was sent to the target."""
         if not self.unanswered_since:
             self.unanswered_since = now
 
-    def record_target_packet(self) -> None:
+    def record_target_packet(self, now: float) -> None:
         """Record that the target sent a packet, which proves it responsive."""
+        if self.unanswered_since and now - self.unanswered_since > RESTART_SILENCE_S:
+            self.record_restart(now)
+        self.unanswered_since = 0.0
+
+    def record_pause(self) -> None:
+        """Forget what the target did not answer, because this process was paused."""
         self.unanswered_since = 0.0
 
     def current_refusal(self, flows: int, now: float) -> FlowRefusal:
@@ -268,6 +326,8 @@
             target, now, mostly_cold
         ):
             return FlowRefusal.COLD
+        if not self.is_cold(now):
+            self.cold_start_limiter.record(now)
         return FlowRefusal.NONE
 
     @property
@@ -296,12 +356,21 @@
         slots = self.target.slots if self.target else 1
         return self.work_time.estimate_answer_s(in_flight=in_flight, slots=slots)
 
+    def _has_other_targets(self, target: Target) -> bool:
+        """Return whether another target of the service may receive new flows."""
+        eligible = self.catalogue.list_eligible_targets(target.service)
+        return any(other.host != target.host for other in eligible)
+
     def _admit_to_cold_target(
         self, target: Target, now: float, mostly_cold: bool
     ) -> bool:
         limits = self.catalogue.services.get(target.service)
         rate = limits.cold_flows_per_s if limits else 0.0
-        if mostly_cold and not rate:
+        # Balancers count a target as cold by its entry; if only this agent knows that
+        # it is, they do not know whether all targets of the service are.
+        must_serve = mostly_cold or not (target.cold or self._has_other_targets(target))
+        if must_serve and not rate:
+            self.cold_start_limiter.record(now)
             return True
         return self.cold_start_limiter.try_acquire(
             self.tolerance.compute_limit(rate), now
--- a/plantainyoke/placement/tests/test_placement.py
+++ b/plantainyoke/placement/tests/test_placement.py
@@ -192,7 +192,7 @@
         assert _admit(admission, 100.1) == FlowRefusal.NONE
         refusals = [_admit(admission, 101.0 + step / 10) for step in range(5)]
         assert refusals.count(FlowRefusal.NONE) == 1
-        admission.record_target_packet()
+        admission.record_target_packet(101.5)
         assert _admit(admission, 102.0) == FlowRefusal.NONE
 
     def test_cold_target_never_exceeds_the_tolerated_rate(self):
