Take a returned packet as proof only for the flow that it belongs to

Cause: the agent compared the ports only. Now the packet has to acknowledge a sequence number of the target near those of the held flow; the successor's are drawn anew.

Test: packet_agent/tests/test_lost_flows.py, the successor is reset before.

--- a/plantainyoke/packet_agent/_lost_flows.py
+++ b/plantainyoke/packet_agent/_lost_flows.py
@@ -23,6 +23,10 @@
 
 PROBES_PER_TICK = 200  # 7 KB for each tick of 0.25 s; a target takes them in some ms
 RUN_INTERVAL_S = 1.0  # so that no flow is probed twice within a second
+# Bytes of the target that a caller acknowledges between two packets that may be on the
+# way at the same time: an end has at most 16 packets of 1,200 bytes in flight.
+MAX_ACKNOWLEDGED_DISTANCE = 76_800
+SEQUENCE_MASK = 0xFFFFFFFF
 
 
 class SentProbe(msgspec.Struct):
@@ -109,6 +113,9 @@
     def is_proof(self, segment: Segment, packet: bytes) -> bool:
         """Return whether a returned packet of a held flow proves that it is lost.
 
+        It does not if it belongs to an earlier flow between the same ports, which
+        acknowledged other sequence numbers of its target.
+
         Parameters
         ----------
         segment : Segment
@@ -118,6 +125,9 @@
         if segment.opens:
             # A draining target returns late copies of first packets, too.
             return False
+        held = self.flow_table.flows.get(segment.flow)
+        if held is not None and not _is_of_flow(segment, held):
+            return False
         probe = self.sent.get(segment.flow)
         return probe is None or probe.is_proof or probe.packet != packet
 
@@ -184,3 +194,11 @@
         self.sent[flow] = SentProbe(held.idle_packet)
         self.metrics.counters["flow.probed"] += 1
         self.send_to_target(held.idle_packet)
+
+
+def _is_of_flow(segment: Segment, held: HeldFlow) -> bool:
+    """Return whether a caller's packet fits what it has acknowledged on a flow."""
+    if not held.acknowledged or not segment.has_acknowledged:
+        return True
+    distance = (segment.acknowledged - held.acknowledged) & SEQUENCE_MASK
+    return min(distance, SEQUENCE_MASK + 1 - distance) <= MAX_ACKNOWLEDGED_DISTANCE
--- a/plantainyoke/packet_agent/tests/test_lost_flows.py
+++ b/plantainyoke/packet_agent/tests/test_lost_flows.py
@@ -4,7 +4,12 @@
 from plantainyoke.packet_agent._lost_flows import PROBES_PER_TICK, RUN_INTERVAL_S
 from plantainyoke.packet_node import FeatureSettings
 from plantainyoke.standins import PacketSimulation
-from plantainyoke.standins._packet_simulation import BOUNCED, SYN, write_packet
+from plantainyoke.standins._packet_simulation import (
+    BOUNCED,
+    SYN,
+    FakeCaller,
+    write_packet,
+)
 
 HOST = 10
 
@@ -230,6 +235,24 @@
         simulation.advance(1.0)
         assert again.reset_at is None
 
+    def test_late_packet_of_an_earlier_flow_is_no_proof_for_its_successor(self):
+        # The caller opened the flow again from the same port before the agent read the
+        # packet that the restarted target had returned.
+        simulation, _, callers = _open_flows()
+        earlier = callers[1]
+        returned = earlier._write(b"request 1")
+        simulation.targets[HOST].lose_flows()
+        callers[0].send_request()
+        simulation.advance(0.1)
+        again = simulation.callers[earlier.flow] = FakeCaller(simulation, earlier.flow)
+        again.open()
+        simulation.advance(0.1)
+        assert again.is_open
+        _bounce(simulation, returned)
+        again.send_request()
+        simulation.advance(1.0)
+        assert (again.reset_at, again.last_answered) == (None, 1)
+
     def test_packets_that_waited_during_a_pause_of_the_agent_reset_no_held_flow(self):
         """After the pause the agent handles an opening and a returned packet at once;
         the flow opened at the restarted target has to stay.
