Search for the holder before a late first packet resets its flow

Cause: the lack of an entry in the balancer's cache was taken for a proof. Now the balancer asks the flow's homes for a copy; the search resets the flow if every agent denies it, within a round trip. A first copy is still reset at once.

Found on the way: an agent that is not sure whether its target holds a flow gave it the packet of the search, also if that was a first packet, which the target accepts as a new flow, whether it may get one or not. It is dropped now.

Tests: tests/test_packet_flows.py TestLateFirstPackets, 2 of 3 fail before; the third shows that a lost flow is still reset at once.

--- a/plantainyoke/packet_agent/_delivery.py
+++ b/plantainyoke/packet_agent/_delivery.py
@@ -252,6 +252,10 @@
             not self.knowledge.is_complete(self.now)
             and flow not in self.flow_table.half_open
         ):
+            if segment.opens:
+                # The target would open the flow instead of returning the packet.
+                self.metrics.counters["drop.first_packet_unsure"] += 1
+                return
             self.metrics.counters["packet.inquired"] += 1
             self.target_probes[flow] = TargetProbe(
                 source, message.ingress, self.now, is_search
--- a/plantainyoke/packet_balancer/_placer.py
+++ b/plantainyoke/packet_balancer/_placer.py
@@ -4,6 +4,7 @@
 tries others if it is refused or not answered. It reads no clock and no socket.
 """
 
+from collections.abc import Callable
 from functools import partial
 
 from plantainyoke.catalogue import Catalogue, Route, Target
@@ -53,6 +54,9 @@
     codec : PacketCodec
     metrics : Metrics
     features : FeatureSettings
+    find_holder : callable
+        Searches for the holder of a flow; called with a packet, the flow's entry in the
+        cache and the time.
 
     Attributes
     ----------
@@ -71,6 +75,7 @@
         codec: PacketCodec,
         metrics: Metrics,
         features: FeatureSettings,
+        find_holder: Callable[[Segment, CachedFlow, float], None],
     ) -> None:
         self.zone = zone
         self.catalogue = catalogue
@@ -80,6 +85,7 @@
         self.codec = codec
         self.metrics = metrics
         self.features = features
+        self.find_holder = find_holder
         self.rank_targets = (
             partial(rank_by_expected_time, on_tied=self._count_tied)
             if features.expected_time_choice
@@ -176,7 +182,7 @@
             entry.tried_hosts.clear()
             targets, mostly_cold = self._choose_targets(route, entry, flow, now)
         if not targets:
-            self._end_placement(segment, entry)
+            self._end_placement(segment, entry, now)
             return
         service = targets[0].service
         entry.offered_hosts = [target.host for target in targets]
@@ -202,15 +208,18 @@
         )
         self._send_first_packet(segment, entry)
 
-    def _end_placement(self, segment: Segment, entry: CachedFlow) -> None:
-        """Reset a flow that every target refused.
+    def _end_placement(self, segment: Segment, entry: CachedFlow, now: float) -> None:
+        """Reset a flow that every target refused, if it cannot be open.
 
-        If an agent timed out, the flow is not reset: the agent may have placed it, so
-        a reset could end an open flow. The caller's next retransmission then starts a
-        new placement.
+        If an agent timed out, the flow is not reset: the agent may have placed it. The
+        caller's next retransmission then starts a new placement. Another balancer may
+        have placed an earlier copy of a retransmission, so that the flow's holder is
+        searched for; the search resets the flow if there is none.
         """
         if entry.timed_out:
             self.sender.end_attempts(segment.flow, entry)
+        elif self.codec.estimate_first_packet_age_s(segment) > 0:
+            self.find_holder(segment, entry, now)
         else:
             self.sender.reset_flow(segment, "no_target")
 
--- a/plantainyoke/packet_balancer/_steering.py
+++ b/plantainyoke/packet_balancer/_steering.py
@@ -96,8 +96,8 @@
             metrics=metrics,
             features=features,
         )
-        self.placer = FlowPlacer(**parts)
         self.locator = HolderLocator(**parts)
+        self.placer = FlowPlacer(**parts, find_holder=self.locator.find_holder)
         self.handlers = {
             MessageKind.ACCEPTED: self.placer.receive_accepted,
             MessageKind.HELD: self.locator.receive_held,
--- a/plantainyoke/tests/test_packet_flows.py
+++ b/plantainyoke/tests/test_packet_flows.py
@@ -4,6 +4,7 @@
 import pytest
 
 from plantainyoke.standins import PacketSimulation
+from plantainyoke.standins._packet_simulation import SYN, write_packet
 
 RECOVERY_S = 2.0  # a flow must reach its target again within this
 
@@ -137,6 +138,56 @@
         _assert_all_served(opened)
 
 
+class TestLateFirstPackets:
+    """Copies of a first packet at a balancer that does not know the open flow."""
+
+    def _open_elsewhere(self, simulation):
+        simulation.select_balancer = lambda flow: 100
+        caller = simulation.open_flow()
+        simulation.advance(0.1)
+        assert caller.is_open
+        simulation.publish(zones_out=("a", "b", "c"))
+        simulation.advance(0.1)
+        simulation.select_balancer = lambda flow: 101
+        return caller
+
+    def _send_copy(self, simulation, flow):
+        simulation.send_from_caller(write_packet(flow, SYN, acknowledged=1))
+        simulation.advance(0.3)
+
+    def test_copy_resets_no_open_flow_while_no_target_is_eligible(self):
+        # The balancer reset the flow at once, though another one had placed it.
+        simulation = PacketSimulation({"orders": 6})
+        caller = self._open_elsewhere(simulation)
+        self._send_copy(simulation, caller.flow)
+        caller.send_request()
+        simulation.advance(1.0)
+        assert (caller.reset_at, caller.last_answered) == (None, 1)
+
+    def test_copy_for_a_flow_that_nobody_holds_is_still_reset_at_once(self):
+        simulation = PacketSimulation({"orders": 6})
+        caller = self._open_elsewhere(simulation)
+        for target in simulation.targets.values():
+            target.lose_flows()
+        for host in simulation.targets:
+            simulation.get_agent(host).flow_table.remove(caller.flow)
+        self._send_copy(simulation, caller.flow)
+        assert caller.reset_at is not None
+
+    def test_copy_opens_no_flow_at_the_target_of_an_agent_that_is_not_sure(self):
+        # The search gave the packet to the target, which took it for a new flow,
+        # although it must not get any.
+        simulation = PacketSimulation({"orders": 6})
+        caller = self._open_elsewhere(simulation)
+        holder = simulation.find_holder(caller)
+        simulation.restart(*simulation.targets)
+        simulation.targets[holder].lose_flows()
+        self._send_copy(simulation, caller.flow)
+        for target in simulation.targets.values():
+            assert not target.half_open_flows
+        assert caller.reset_at is None
+
+
 class TestRoutingChanges:
     def test_flows_survive_a_balancer_crash(self):
         simulation = PacketSimulation({"orders": 6}, balancers=3)
