Keep what a process knew when a source has started in an outage

Test: catalogue/tests/test_follower.py; it uses the new method, so it cannot run on the code before.

--- a/plantainyoke/catalogue/_follower.py
+++ b/plantainyoke/catalogue/_follower.py
@@ -12,8 +12,13 @@
 from contextlib import suppress
 
 from plantainyoke.catalogue._catalogue import Catalogue
-from plantainyoke.catalogue._change_builder import ChangeBuilder, StoreUpdate
-from plantainyoke.catalogue._ranking import plan_sources
+from plantainyoke.catalogue._change_builder import (
+    OUTAGE_S,
+    ChangeBuilder,
+    StoreUpdate,
+)
+from plantainyoke.catalogue._ranking import ReaderRanking, plan_sources
+from plantainyoke.catalogue._retention import add_missing_targets
 from plantainyoke.catalogue._subscription import (
     SOURCE_TIMEOUT_S,
     CatalogueServer,
@@ -23,7 +28,6 @@
     read_frame,
 )
 from plantainyoke.catalogue._types import CatalogueChange, Position
-from plantainyoke.hashing import rank_by_rendezvous
 from plantainyoke.network import Address, TransferDeadline, format_host
 from plantainyoke.telemetry import Metrics, log_event
 
@@ -38,7 +42,6 @@
 SUBSCRIBE_RETRY_S = 0.3
 # The store answers in milliseconds; if it doesn't, other processes may know more.
 FIRST_READ_TIMEOUT_S = 0.3
-ANY_ZONE = 0  # key that ranks hosts if the process's zone has no targets
 PREFERRED_RETRY_S = 5.0  # time on a fallback source before the preferred is retried
 ASK_TIMEOUT_S = 5.0  # longer than processes that start at the same time need
 MIN_BACKOFF_S = 0.4  # delay after a first failed call to the store
@@ -110,12 +113,10 @@
         is_receiving: Callable[[], bool] = lambda: False,
     ) -> None:
         self.host = host
-        self.zone = zone
         self.catalogue = catalogue
         self.read = read
         self.store_errors = store_errors
         self.get_address = get_address
-        self.seeds = seeds
         self.metrics = metrics
         self.jitter = jitter
         self.is_receiving = is_receiving
@@ -126,8 +127,7 @@
         self.loaded = asyncio.Event()
         self.first_read_done = asyncio.Event()
         self.confirmed_at = float("-inf")
-        self.cached_ranking: list[int] = []
-        self.cached_ranking_changes = -1
+        self.ranking = ReaderRanking(catalogue, zone, seeds)
         self.source = 0
         self.confirmation: asyncio.TimerHandle | None = None
         self.loop = asyncio.get_running_loop()
@@ -164,25 +164,8 @@
         return ranking.index(self.source) < ranking.index(self.host)
 
     def get_ranking(self) -> list[int]:
-        """Return the hosts that may read the store for the zone, in order of rank.
-
-        These are the hosts of the zone's targets. If the zone has none, they are the
-        hosts of all targets, or the seeds if no target is known. Every zone ranks the
-        latter alike: with different orders, processes of two zones could each wait for
-        the other to read.
-        """
-        catalogue = self.catalogue
-        if self.cached_ranking_changes == catalogue.changes_applied:
-            return self.cached_ranking
-        ring = catalogue.rings_by_zone.get(self.zone)
-        hosts = ring.hosts if ring else list(catalogue.target_by_host) or self.seeds
-        key = (self.zone if ring else ANY_ZONE).to_bytes(4, "big")
-        members = [host.to_bytes(4, "big") for host in hosts]
-        self.cached_ranking = [
-            int.from_bytes(member, "big") for member in rank_by_rendezvous(key, members)
-        ]
-        self.cached_ranking_changes = catalogue.changes_applied
-        return self.cached_ranking
+        """Return the hosts that may read the store for the zone, in order of rank."""
+        return self.ranking.list_hosts()
 
     def get_rank(self) -> int:
         """Return this process's position in the ranking, 0 for the first reader.
@@ -442,7 +425,8 @@
                 return str(error)
             is_first, self.has_asked_process = not self.has_asked_process, True
             if frame.change is not None:
-                if not self._apply(frame.change, source=format_host(host)):
+                change = self._keep_lapsed_targets(frame.change)
+                if not self._apply(change, source=format_host(host)):
                     return "gap"
                 if self.catalogue.configuration.version:
                     self.loaded.set()
@@ -465,6 +449,20 @@
             if self.loop.time() >= leave_at:
                 return "limit"
 
+    def _keep_lapsed_targets(self, change: CatalogueChange) -> CatalogueChange:
+        """Return a source's change without what only the lapse of entries explains.
+
+        While the store is unreachable, entries lapse. The snapshot of a process that
+        has read the store since lacks them, although their targets serve.
+        """
+        catalogue = self.catalogue
+        is_later = change.position > catalogue.position
+        if change.since or not is_later or change.epoch != catalogue.epoch:
+            return change
+        if self.age_s() <= OUTAGE_S:
+            return change
+        return add_missing_targets(change, catalogue.targets)
+
     def _get_rounded_age_s(self) -> float | None:
         age_s = self.age_s()
         return round(age_s, 2) if age_s < 1e6 else None
--- a/plantainyoke/catalogue/_retention.py
+++ b/plantainyoke/catalogue/_retention.py
@@ -5,14 +5,15 @@
 an older copy, it also lists targets that left, drain or have started again as they were
 before, and zones as they were before. Operators and targets write all of this again
 within two seconds. Until then a view keeps what it knew, and afterwards it adopts what
-is published.
+is published. A process that starts meanwhile knows nothing that it could keep; its
+snapshot must not take from others what they know.
 """
 
 from collections.abc import Collection, Mapping
 
 import msgspec
 
-from plantainyoke.catalogue._types import Target
+from plantainyoke.catalogue._types import CatalogueChange, Target, Unconfirmed
 
 RETURN_GRACE_S = 2.3  # writers need up to two seconds after the store's return
 
@@ -50,3 +51,31 @@
     for name, target in known.items():
         merged[name] = merge_target(target, merged.get(name, target))
     return merged
+
+
+def add_missing_targets(
+    snapshot: CatalogueChange, known: Mapping[str, Target]
+) -> CatalogueChange:
+    """Return a snapshot that keeps known targets which it lacks as unconfirmed.
+
+    Parameters
+    ----------
+    snapshot : CatalogueChange
+        State of another process, right after the store was unreachable here.
+    known : mapping of str to Target
+        Targets of the view, by name.
+    """
+    listed = {target.name for target in snapshot.targets}
+    missing = {name: target for name, target in known.items() if name not in listed}
+    if not missing:
+        return snapshot
+    unconfirmed = snapshot.unconfirmed or Unconfirmed({}, 0.0)
+    return msgspec.structs.replace(
+        snapshot,
+        targets=(*snapshot.targets, *missing.values()),
+        unconfirmed=Unconfirmed(
+            {**dict.fromkeys(missing), **unconfirmed.targets},
+            max(unconfirmed.remaining_s, RETURN_GRACE_S),
+            unconfirmed.zones_out,
+        ),
+    )
--- a/plantainyoke/catalogue/tests/test_follower.py
+++ b/plantainyoke/catalogue/tests/test_follower.py
@@ -5,6 +5,7 @@
 
 from plantainyoke.catalogue import (
     Catalogue,
+    CatalogueChange,
     CatalogueFollower,
     Position,
     RouteConfiguration,
@@ -12,6 +13,8 @@
     Target,
     _follower,
 )
+from plantainyoke.catalogue._change_builder import OUTAGE_S
+from plantainyoke.catalogue._retention import RETURN_GRACE_S
 from plantainyoke.hashing import compute_zone_id, rank_by_rendezvous
 from plantainyoke.network import format_host, parse_host
 from plantainyoke.telemetry import Metrics, TaskSet
@@ -361,6 +364,29 @@
 
         run_fleet(2, scenario)
 
+    @pytest.mark.parametrize("age_s", [0.5, 5.0])
+    def test_snapshot_of_a_process_that_started_in_an_outage_takes_no_targets(
+        self, run_fleet, age_s
+    ):
+        # All entries had lapsed when the other process read the store. Its snapshot
+        # took a silent holder from the candidates of a search, and open flows were
+        # reset (soak seed 437).
+        async def scenario(fleet):
+            await fleet.start(fleet.hosts[0])
+            follower = fleet.followers[fleet.hosts[0]]
+            follower.confirmed_at = follower.loop.time() - age_s
+            position = follower.catalogue.position
+            snapshot = CatalogueChange(0, position.revision + 1, epoch=position.epoch)
+            change = follower._keep_lapsed_targets(snapshot)
+            assert follower.catalogue.apply(change, follower.loop.time())
+            is_outage = age_s > OUTAGE_S
+            assert len(follower.catalogue.targets) == (1 if is_outage else 0)
+            # Targets that still serve are back in time; the others are given up.
+            follower.catalogue.confirm(follower.loop.time() + RETURN_GRACE_S + 0.1)
+            assert not follower.catalogue.targets
+
+        run_fleet(1, scenario)
+
     def test_calls_are_limited_while_the_store_fails(self, run_fleet):
         async def scenario(fleet):
             await fleet.start()
