Bound headers, host records and service records of the QUIC path

Numbers of thousands of digits in a caller's headers raised a ValueError, so that a request that did not run was answered as one whose outcome is unknown, in place of 400 and not run. One odd record kept the published host list out of use. Addresses and counts of a published service had no range. An operator's query with such a port ended its connection.

--- a/plantainyoke/agent/_request_headers.py
+++ b/plantainyoke/agent/_request_headers.py
@@ -16,6 +16,7 @@
 RESUME_HEADER = b"plantainyoke-resume"
 CONSUMED_HEADERS = frozenset({KEY_HEADER, TIMEOUT_HEADER, b"host"})
 MAX_KEY_BYTES = 200
+MAX_DIGITS = 20  # of an integer of 64 bits
 
 
 class MalformedRequestError(Exception):
@@ -46,9 +47,9 @@
     if value is None:
         return None
     session, separator, epoch = value.partition(b";epoch=")
-    if not separator or not epoch.isdigit():
+    if not separator:
         raise MalformedRequestError
-    return session, int(epoch)
+    return session, _parse_number(epoch)
 
 
 def parse_resume(headers: Headers, connected_at: float) -> ResumeQuery | None:
@@ -77,9 +78,10 @@
     if value is None:
         return None
     incarnation, separator, age = value.partition(b";age=")
-    if not separator or not incarnation.isdigit() or not age.isdigit():
+    if not separator:
         raise MalformedRequestError
-    return ResumeQuery(int(incarnation), connected_at - int(age) / SECONDS_TO_MS)
+    sent_after = connected_at - _parse_number(age) / SECONDS_TO_MS
+    return ResumeQuery(_parse_number(incarnation), sent_after)
 
 
 def build_request(
@@ -140,6 +142,19 @@
 def _parse_timeout(value: bytes | None, max_timeout_s: float) -> float:
     if value is None:
         return max_timeout_s
-    if not value.isdigit():
+    return min(_parse_number(value) / SECONDS_TO_MS, max_timeout_s)
+
+
+def _parse_number(text: bytes) -> int:
+    """Return a number that fits into 64 bits.
+
+    Raises
+    ------
+    MalformedRequestError
+    """
+    if not text.isdigit() or len(text) > MAX_DIGITS:
+        raise MalformedRequestError
+    number = int(text)
+    if number >= 1 << 64:
         raise MalformedRequestError
-    return min(int(value) / SECONDS_TO_MS, max_timeout_s)
+    return number
--- a/plantainyoke/configuration/_documents.py
+++ b/plantainyoke/configuration/_documents.py
@@ -18,6 +18,8 @@
 DIGEST_PATTERN = r"^[0-9a-f]{64}$"
 DOCUMENT_FORMAT = 1
 
+PackedAddress = Annotated[int, Field(ge=0, lt=1 << 48)]
+Count = Annotated[int, Field(ge=0, lt=1 << 31)]
 Digest = Annotated[str, Field(pattern=DIGEST_PATTERN)]
 
 
@@ -60,13 +62,13 @@
     """
 
     name: str
-    address: int
-    slots: int
-    cold_slots: int
-    warm_up_requests: int
-    request_timeout_ms: int
-    shed_status: int | None = None
-    targets: dict[str, list[int]]
+    address: PackedAddress
+    slots: Count
+    cold_slots: Count
+    warm_up_requests: Count
+    request_timeout_ms: Count
+    shed_status: int | None = Field(default=None, ge=100, le=999)
+    targets: dict[str, list[PackedAddress]]
 
 
 class Chunk(StrictModel):
--- a/plantainyoke/flows/_segment.py
+++ b/plantainyoke/flows/_segment.py
@@ -89,5 +89,5 @@
             + int(service_port).to_bytes(2, "big")
             + socket.inet_aton(caller_ip)
         )
-    except (OSError, OverflowError):
+    except (OSError, OverflowError, ValueError):
         raise FlowFormatError(text, "contains an invalid address or port") from None
--- a/plantainyoke/flows/tests/test_messages.py
+++ b/plantainyoke/flows/tests/test_messages.py
@@ -7,6 +7,7 @@
 from plantainyoke.flows import (
     IGNORE_FAILING_FLAG,
     MOSTLY_COLD_FLAG,
+    FlowFormatError,
     FlowRefusal,
     Ingress,
     Load,
@@ -19,6 +20,7 @@
     encode_load_body,
     encode_message,
     encode_open_body,
+    parse_flow,
 )
 from plantainyoke.platform import MalformedPacketError
 from plantainyoke.standins import PacketSimulation
@@ -75,6 +77,16 @@
             decode_refusal(250)
 
 
+class TestFlowNames:
+    @pytest.mark.parametrize(
+        "port", ["9" * 5000, "65536", "\u00b2", "-1", ""], ids=lambda port: port[:8]
+    )
+    def test_port_out_of_range_is_an_error_of_the_format(self, port):
+        # Digits by the thousand ended the connection of the operator's query.
+        with pytest.raises(FlowFormatError):
+            parse_flow(f"10.0.0.1:{port}>198.18.0.1:443")
+
+
 class TestHostileMessages:
     @given(
         st.sampled_from([100, 10, 14]),
--- a/plantainyoke/publication/_hosts.py
+++ b/plantainyoke/publication/_hosts.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 from functools import cached_property
-from typing import Literal
+from typing import Any, Literal
 
 from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
@@ -17,6 +17,7 @@
     pack_address,
     parse_address,
 )
+from plantainyoke.telemetry import log_event
 
 
 class HostRecord(BaseModel):
@@ -75,31 +76,41 @@
         ]
 
 
-_records = TypeAdapter(list[HostRecord])
+_items = TypeAdapter(list[Any])
 
 
 def parse_hosts(document: bytes) -> Result[HostList, ValueError]:
-    """Decode and validate a published host list.
+    """Decode a published host list; invalid records are logged and left out.
 
     Returns
     -------
     Result of HostList
-        A `ValueError` with the first line of the message if the list is malformed.
+        A `ValueError` with the first line of the message if it is no list.
     """
     try:
-        records = _records.validate_json(document)
-        return Success(
-            HostList(
-                tuple(
-                    HostEntry(
-                        pack_address(parse_address(record.address)),
-                        compute_zone_id(record.zone),
-                        record.role == "balancer",
-                        record.leaving,
-                    )
-                    for record in records
-                )
-            )
-        )
-    except (ValidationError, ValueError) as error:
+        items = _items.validate_json(document)
+    except ValidationError as error:
         return Failure(ValueError(str(error).splitlines()[0]))
+    entries = []
+    for item in items:
+        try:
+            entries.append(_parse_record(item))
+        except ValueError as error:
+            log_event("host_unusable", error=str(error).splitlines()[0])
+    return Success(HostList(tuple(entries)))
+
+
+def _parse_record(item: object) -> HostEntry:
+    """Validate the record of one process.
+
+    Raises
+    ------
+    ValueError
+    """
+    record = HostRecord.model_validate(item)
+    return HostEntry(
+        pack_address(parse_address(record.address)),
+        compute_zone_id(record.zone),
+        record.role == "balancer",
+        record.leaving,
+    )
