Drain by the grace period in force when the process stops

A balancer drained by the grace period of its start; when the settings had a shorter one since, it would be killed while it drained, with the packets that it had.

The settings file is read again on SIGTERM; if it is not valid, the period of the start holds.

--- a/plantainyoke/cli/packet_daemon.py
+++ b/plantainyoke/cli/packet_daemon.py
@@ -78,6 +78,7 @@
         if startup.done():
             startup.result()
             await stop_wait
+            node.adopt_grace_period(read_settings_again(settings).grace_s)
             await program.drain()
         else:
             startup.cancel()
@@ -89,7 +90,7 @@
     """Check the settings file again and log whether it changed.
 
     The running process keeps its settings, since its sockets are bound to the
-    addresses in them.
+    addresses in them. Only the grace period is read again, when it stops.
     """
     try:
         changed = load_process_settings(os.environ[SETTINGS_VARIABLE])
@@ -99,6 +100,15 @@
     log_event("reloaded", changed=changed != settings)
 
 
+def read_settings_again(settings: ProcessSettings) -> ProcessSettings:
+    """Return the settings of the file now, those of the start if it is not valid."""
+    try:
+        return load_process_settings(os.environ[SETTINGS_VARIABLE])
+    except SettingsError as error:
+        log_event("reload_failed", error=str(error))
+        return settings
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run the daemon and return its exit code."""
     if arguments is not None and len(arguments) == 1 and arguments[0] in ROLES:
--- a/plantainyoke/packet_node/_node.py
+++ b/plantainyoke/packet_node/_node.py
@@ -147,6 +147,13 @@
         """
         return self.is_ready and not self.tasks.failing
 
+    def adopt_grace_period(self, grace_s: float) -> None:
+        """Use the grace period in force when the process stops, not that of its start.
+
+        A process that drains for longer is killed with the packets that it has.
+        """
+        self.settings = msgspec.structs.replace(self.settings, grace_s=grace_s)
+
     def get_address(self, host: int) -> Address:
         """Return the address at which a host's process receives messages and links."""
         address = self.addresses.get(host)
--- a/plantainyoke/tests/test_packet_processes.py
+++ b/plantainyoke/tests/test_packet_processes.py
@@ -162,6 +162,24 @@
 
         fleet(scenario)
 
+    def test_balancer_drains_within_the_grace_period_in_force(self, fleet):
+        # It went by that of its start; a shorter one let it be killed while it drained.
+        async def scenario(fleet):
+            balancer = fleet.hosts["balancer-0"]
+            path = fleet.directory / "balancer-0.toml"
+            path.write_text(path.read_text().replace("graceS = 3", "graceS = 2"))
+            sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            fleet.send_signal("balancer-0", signal.SIGTERM)
+            stopped_at = fleet.now + 2.0
+            while balancer.process.poll() is None and fleet.now < stopped_at + 2.0:
+                sender.sendto(b"\x00" * 36, (balancer.ip, 18_172))  # routers still send
+                await asyncio.sleep(0.05)
+            sender.close()
+            assert balancer.process.poll() == 0
+            assert fleet.now < stopped_at
+
+        fleet(scenario)
+
     def test_unusable_settings_are_logged_and_exit_with_1(self, fleet):
         async def scenario(fleet):
             loopback_host = fleet.hosts["agent-1"]
