--- a/plantainyoke/catalogue/_catalogue.py
+++ b/plantainyoke/catalogue/_catalogue.py
@@ -5,11 +5,15 @@
 """
 
 from collections.abc import Callable, Collection, Mapping
-from typing import NamedTuple
 
 import msgspec
 
-from plantainyoke.catalogue._retention import RETURN_GRACE_S, merge_targets
+from plantainyoke.catalogue._retention import (
+    RETURN_GRACE_S,
+    Departure,
+    Unpublished,
+    merge_targets,
+)
 from plantainyoke.catalogue._types import (
     CatalogueChange,
     Position,
@@ -25,28 +29,6 @@
 KNOWLEDGE_RETENTION_S = 60.0  # longer than a copy of the store is old
 
 
-class Departure(NamedTuple):
-    """Incarnation of a target that left, and the time in seconds."""
-
-    born_ms: int
-    at: float
-
-
-class Unpublished(NamedTuple):
-    """State of a target in a view that differs from what the store has published.
-
-    Attributes
-    ----------
-    published : Target or None
-        Entry in the store, None if it has none.
-    until : float
-        Time in seconds at which the view adopts what is published.
-    """
-
-    published: Target | None
-    until: float
-
-
 class Catalogue:
     """Routes, targets and zones at one revision.
 
--- a/plantainyoke/catalogue/_retention.py
+++ b/plantainyoke/catalogue/_retention.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Collection, Mapping
+from typing import NamedTuple
 
 import msgspec
 
@@ -18,6 +19,28 @@
 RETURN_GRACE_S = 2.3  # writers need up to two seconds after the store's return
 
 
+class Departure(NamedTuple):
+    """Incarnation of a target that left, and the time in seconds."""
+
+    born_ms: int
+    at: float
+
+
+class Unpublished(NamedTuple):
+    """State of a target in a view that differs from what the store has published.
+
+    Attributes
+    ----------
+    published : Target or None
+        Entry in the store, None if it has none.
+    until : float
+        Time in seconds at which the view adopts what is published.
+    """
+
+    published: Target | None
+    until: float
+
+
 def merge_target(known: Target, published: Target) -> Target:
     """Return the later state of a target, which may be the known or published one.
 
--- a/plantainyoke/catalogue/_types.py
+++ b/plantainyoke/catalogue/_types.py
@@ -13,7 +13,8 @@
 Host = Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]
 Revision = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
-Timeout = Annotated[float, msgspec.Meta(gt=0, le=1e12)]
+MAX_TIMEOUT_S = 1e12  # far above any useful value; infinity cannot be computed with
+Timeout = Annotated[float, msgspec.Meta(gt=0, le=MAX_TIMEOUT_S)]
 
 
 class Position(NamedTuple):
--- a/plantainyoke/packet_agent/_flow_knowledge.py
+++ b/plantainyoke/packet_agent/_flow_knowledge.py
@@ -58,7 +58,7 @@
         return self.idle_timeout_s + self.configuration_apply_s
 
     def is_complete(self, now: float) -> bool:
-        """Return whether the target holds no flow but those of the table."""
+        """Return whether no other flow than those of the table can be open."""
         return now - self.flow_table.complete_since >= self.retention_s
 
     def get_knowledge(self, flow: FlowKey, now: float) -> Knowledge:
