--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -173,14 +173,21 @@
     def _get_store_address(self, machine: Machine) -> tuple[str, int]:
         return machine.ip.replace(".1.", ".9.", 1), self.base + 9
 
-    def start_target(self, machine: Machine) -> None:
-        """Start a target, or start it again with nothing of before."""
+    def start_target(self, machine: Machine, *, clock_ahead_s: float = 0.0) -> None:
+        """Start a target, or start it again with nothing of before.
+
+        Parameters
+        ----------
+        machine : Machine
+        clock_ahead_s : float
+            By how much the machine's time of day is ahead at the start.
+        """
         if machine.target is not None:
             machine.target.close()
         else:
             self.stack.callback(lambda: machine.target.close())
         machine.target_id = f"i-{random.getrandbits(40):010x}"
-        machine.born_ms = int(time.time() * 1000)
+        machine.born_ms = int((time.time() + clock_ahead_s) * 1000)
         machine.target = Target(
             machine.name, (machine.ip, self.base + 5), (machine.ip, self.base + 2)
         )
--- a/review/rig2/ends.py
+++ b/review/rig2/ends.py
@@ -235,7 +235,7 @@
             ack=ack,
             data=data,
         )
-        callers.socket.sendto(packet, callers.router(self.port))
+        callers.send(packet, self.port)
 
     def _send_request(self, attempt: int = 0) -> None:
         if self.outcome == "none" and attempt < 5:
@@ -286,6 +286,11 @@
         self.attempts: dict[int, Attempt] = {}
         self.socket = open_socket(address, self._receive)
 
+    def send(self, packet: bytes, port: int) -> None:
+        """Send a packet of a port to the balancer that the routers select."""
+        if self.socket.fileno() >= 0:
+            self.socket.sendto(packet, self.router(port))
+
     def open(self) -> Attempt:
         """Start one attempt on a new flow from a new port."""
         port = 20_000 + len(self.attempts)
--- a/review/rig2/lines.py
+++ b/review/rig2/lines.py
@@ -30,6 +30,7 @@
         self.loop = asyncio.get_running_loop()
         self.tries: list[dict] = []
         self.answered: dict[bytes, float] = {}
+        self.is_pausing = False
         self.start()
 
     def start(self) -> None:
@@ -66,10 +67,15 @@
             ack=ack,
             data=data,
         )
-        self.callers.socket.sendto(packet, self.callers.router(self.port))
+        self.callers.send(packet, self.port)
+
+    def resume(self) -> None:
+        """Send requests again after a pause."""
+        self.is_pausing = False
+        self._request(len(self.tries))
 
     def _request(self, number: int) -> None:
-        if self.state != "open" or number != len(self.tries):
+        if self.state != "open" or number != len(self.tries) or self.is_pausing:
             return
         data = f"line {self.port} request {self.loop.time():.4f}".encode()
         self._transmit(number, self.seq, data, 0)
@@ -93,7 +99,7 @@
         elif packet.flags & SYN:
             if self.state == "opening":
                 self.state = "open"
-                self.tries[-1]["first_sequence"] = packet.seq
+                self.tries[-1]["opened_at"] = self.loop.time()
                 self.ack = packet.seq + 1
                 self._send(ACK, seq=101, ack=self.ack)
                 self._request(len(self.tries))
